Pace the calls to discovery by the size of the fleet, with jitter over the whole wait

Cause: quillroad/discovery.py, BACKOFF_S and BACKOFF_MOST_S (0.1 to 1 s, jitter over half of it) and a first call at once after a start. Some 16 of 40 calls were served in 2 s, so discovery takes about 8 a second and works off the turn of a call that failed; 24 gateways at one call a second keep its queue longer than any call may wait. Ruled out: discovery being down (the 4 watches stood) and the read time-out (calls ended in 503 after 2 s, or at once). Probe: with waits of 1 to 16 s the calls began to be served again.

Design: quillroad/pacing.py spreads the first call and each retry over 0.1 s for each gateway, doubled up to twice that, drawn over the whole spread. Rejected: a longer fixed backoff, which would cost a small fleet its promptness and keeps the waves together; asking for the whole list, which is more work.

--- a/quillroad/__main__.py
+++ b/quillroad/__main__.py
@@ -67,7 +67,7 @@
         """Serve by the known list at once."""
         self.discovery.start_from(self.config.known)
         self.port = await self.server.listen(*self.config.listen)
-        self.discovery.start()
+        self.discovery.start_paced()
         self._sweeper = self.loop.create_task(self._sweep())
         log.info("%s listens on %s:%d", self.config.name, self.config.listen[0], self.port)
 
--- a/quillroad/discovery.py
+++ b/quillroad/discovery.py
@@ -10,7 +10,6 @@
 import hashlib
 import json
 import logging
-import random
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -18,13 +17,13 @@
 
 from pinetrack.interface import ListKind, Server, ServerList, State
 from quillroad.config import Address, Config, ConfigError, read_address
+from quillroad.pacing import CallPacing
 
 log = logging.getLogger("quillroad.discovery")
 
 STATES = {"up": State.READY, "draining": State.DRAINING, "removed": State.GONE}
 SILENCE_S = 3.0  # an empty line is due every 2 s
 CONNECT_S = 1.0
-BACKOFF_S, BACKOFF_MOST_S = 0.1, 1.0  # what was told in the meantime counts as told 6 s later at the latest
 LINE_LIMIT = 4 * 1024 * 1024
 
 Update = Callable[[ServerList, dict[int, str], dict[int, Address]], None]
@@ -47,12 +46,14 @@
         self._zones = {name: i for i, name in enumerate(config.zones)}
         self._kinds = {name: i for i, name in enumerate(config.kinds)}
         self._generation = 0
+        self._listed = False  # whether there is a list to serve by
         self._whole_due = False  # the version held is another discovery's
         self._buffer = b""
         self._status = 0
         self._ended = False
         self._parser: httptools.HttpResponseParser | None = None
         self._task: asyncio.Task[None] | None = None
+        self._pacing = CallPacing(config.settings.balancers, config.seed)
 
     def start_from(self, known: Mapping[str, Any]) -> None:
         """Serve by the list as this gateway last had it until discovery's first answer."""
@@ -62,8 +63,12 @@
             except Malformed as error:
                 raise ConfigError(f"known: {error}") from None
 
-    def start(self) -> None:
-        self._task = asyncio.get_running_loop().create_task(self._run())
+    def start_paced(self) -> None:
+        """Begin to watch at the fleet's pace; with no list to serve by there is no time to lose."""
+        self.start(self._pacing.start_s() if self._listed else 0.0)
+
+    def start(self, wait_s: float = 0.0) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run(wait_s))
 
     def stop(self) -> None:
         if self._task is not None:
@@ -82,10 +87,10 @@
             self.stop()
             self.start()
 
-    async def _run(self) -> None:
-        """Watch for ever; a broken, silent or malformed watch is begun again, later each time."""
-        wait_s = BACKOFF_S
+    async def _run(self, wait_s: float) -> None:
+        """Watch for ever; a broken, silent or malformed watch is begun again at the fleet's pace."""
         while True:
+            await asyncio.sleep(wait_s)
             before = self._generation
             try:
                 heard = await self._watch()
@@ -96,11 +101,8 @@
                 # With no watch a drain would go unheard while all else seems well: no fault may end it.
                 log.exception("the watch of hosts failed")
                 heard, reason = False, "a fault of ours"
-            if heard:
-                wait_s = BACKOFF_S
-            log.warning("watch of hosts lost: %s; again in about %.1f s", reason, wait_s)
-            await asyncio.sleep(wait_s * (0.5 + random.random() / 2))
-            wait_s = min(BACKOFF_MOST_S, wait_s * 2)
+            wait_s = self._pacing.lost_s(heard)
+            log.warning("watch of hosts lost: %s; again in %.1f s", reason, wait_s)
 
     async def _watch(self) -> bool:
         """One watch until its connection ends; whether it brought a list."""
@@ -177,7 +179,7 @@
             names[server.id] = name
             if address is not None:
                 addresses[server.id] = address
-        self._generation = generation
+        self._generation, self._listed = generation, True
         shown = ", ".join(f"{names[s.id]} ({s.id}) {s.state.name.lower()}" for s in servers)
         log.info("list %d (%s): %s", generation, kind.name.lower(), shown[:2000] or "nothing")
         self._update(ServerList(kind, tuple(servers), generation), names, addresses)
