Widen the spread after a failed call before the wait is drawn

Now a failure doubles the spread first, up to four times the first one. Computed with the test's queue: with twice, no fleet of 40 comes back at 5 calls a second; with four times all do, and at 8 calls a second the last does after some 29 s from a queue that starts 9 s long.

--- a/quillroad/pacing.py
+++ b/quillroad/pacing.py
@@ -19,7 +19,7 @@
 
     def __init__(self, gateways: int, seed: int) -> None:
         self._slot_s = SLOT_S * gateways
-        self._most_s = max(SPREAD_LEAST_S, 2 * self._slot_s)
+        self._most_s = max(SPREAD_LEAST_S, 4 * self._slot_s)
         self._random = random.Random(seed)
         self._spread_s = self._slot_s
 
@@ -29,8 +29,5 @@
 
     def lost_s(self, heard: bool) -> float:
         """Before the next call, after a watch ended; `heard`: it had told something, so calls are served."""
-        if heard:
-            self._spread_s = self._slot_s
-        wait_s = self._random.random() * self._spread_s
-        self._spread_s = min(self._most_s, 2 * self._spread_s)
-        return wait_s
+        self._spread_s = self._slot_s if heard else min(self._most_s, 2 * self._spread_s)
+        return self._random.random() * self._spread_s
