Give each gateway a rested even share of a cold host, by the host's size and speed

Cause: pinetrack/balance.py, may_warm and turn_us. A turn came to a gateway every 13 s and was lost if no request that fitted was at hand just then, and its budget was that of one standard core, whatever the host.

Design: after each send to a cold host a gateway rests for as long as its even share of the host takes to grow back; the first rest is drawn at random, so that sends of all gateways do not meet. The share counts the host's told size and the speed that warm hosts of its kind showed; that speed is learned from latency over the request's own cost, only while nothing is shed and less from slow answers, for a jam is no slow machine. In sum the gateways offer a cold host about what it can surely do, a third of what tips it over.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -21,6 +21,7 @@
 SAVED = 0.2  # part of the recent requests that the bucket holds tokens for at most
 HEDGE_AT = 0.95  # a request slower than this percentile of its route is hedged
 BACKOFF = 1 / 64  # first wait between retry groups, as part of the aim; it doubles from there
+SLOWER = 0.5  # of that for an answer slower than its kind of machine: waits are no slowness of the machine
 OUTLIER = 0.3  # a payoff below this ejects: quick to leave a bad server against patience with an unlucky one
 TRIALS = 2.0  # first ejection, in the work of one trial by each balancer sharing: rest against early return
 LIMIT = 3.0  # concurrency limit of a server, over all balancers, at first: room for large machines is learned
@@ -29,7 +30,7 @@
 TARGET = 0.7  # share of attempts in time at which load shedding holds: use of the fleet against wasted work
 STEER = 4.0  # what a memory full of good or bad outcomes would move the share admitted by: speed against calm
 LEAST_ADMITTED = 0.1  # share still admitted at the worst: finding out that it is over against feeding a jam
-COLD_SAFETY = 0.5  # part of the told cold-start budget to use: a window can touch two turns in full
+COLD_SAFETY = 0.33  # part of the told cold-start budget to use: most warm sooner than told, and sends cluster
 LOCAL = 0.5  # local servers take all while one is filled under this part of its limit: crossings or waits
 MEMORY = 0.25  # part of the told ask-within time that a record lasts: fresh records against wide windows
 FEWEST = 4  # servers in the smallest window: one bad server must leave a choice
@@ -71,15 +72,15 @@
         self.in_flight = self.overdue = 0  # own attempts out, and those of them past their aim
         self.heard_us = 0  # when an outcome last told of it
         self.ejections = self.ejected_until_us = 0
-        self.turn, self.turn_us = -1, 0.0  # slow start: our last turn at it, and the work left in that turn
+        self.rest_until_us = 0  # slow start: when our share of a cold server allows the next request
 
     def well(self, now_us: int) -> bool:
         return self.ejected_until_us <= now_us and not self.overdue
 
 
 class Attempt:
-    def __init__(self, server: ServerState, sent_us: int) -> None:
-        self.server, self.sent_us = server, sent_us
+    def __init__(self, server: ServerState, sent_us: int, cost_us: float) -> None:
+        self.server, self.sent_us, self.cost_us = server, sent_us, cost_us
         self.outcome: Outcome | None = None
         self.alone, self.late, self.full = not server.in_flight, False, False
 
@@ -122,9 +123,6 @@
         self.servers: dict[int, ServerState] = {}
         self.candidates: list[ServerState] = []  # the ready ones, in the same order at every balancer
         self.cold: list[ServerState] = []  # those of them that are cold
-        # A turn holds one request of the dearest route at the coldest, and is no longer than the told window.
-        safe_us = COLD_SAFETY * settings.fall_multiple * settings.cold_from * settings.fall_window_us
-        self.turn_us = settings.fall_window_us // max(1, int(safe_us / max(r.cost_us for r in self.routes)))
         self.requests: dict[int, Request] = {}
         self.actions: list[Action] = []
         self.alarms: dict[int, tuple[Callable[[Any], None], Any]] = {}
@@ -134,7 +132,7 @@
         self.recent, self.counted_us, self.admitted = 0.0, 0, 1.0  # requests of late; share not shed
         self.mean_cost_us = min(r.cost_us for r in self.routes)
         self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
-        self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over route cost
+        self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over cost, warm
         self.limit = max(1.0, LIMIT / settings.balancers)  # own share of a server's concurrency limit
         self.crowding = 1.0  # latency in a full server over the uncrowded one, smoothed
 
@@ -173,8 +171,10 @@
             if line.state is State.GONE:
                 self.servers.pop(line.id, None)
             elif known is None or (line.started_us or 0) > (known.spec.started_us or 0):
-                self.servers[line.id] = ServerState(line)
+                fresh = self.servers[line.id] = ServerState(line)
                 self.pace.setdefault(line.kind, 0.0)
+                if self.is_cold(fresh):
+                    self.rest(fresh, self.mean_cost_us * self.random.random())
             else:
                 known.spec = line
         # Rule 3: a draining or departed server leaves the candidates with the event that tells of it.
@@ -274,18 +274,26 @@
     def is_cold(self, s: ServerState) -> bool:
         return bool(s.spec.started_us) and self.now < (s.spec.started_us or 0) + self.settings.cold_us
 
+    def core_speed(self, s: ServerState) -> float:
+        """Work in a unit of time that its core surely does: as warm ones of its kind, less what is cold."""
+        told, since_us = self.settings, max(0, self.now - (s.spec.started_us or 0))
+        warmth = min(1.0, told.cold_from + (1.0 - told.cold_from) * since_us / max(1, told.cold_us))
+        return float(warmth * 2.0 ** -self.pace[s.spec.kind])
+
+    def rest(self, s: ServerState, cost_us: float) -> None:
+        """Rule 4, slow start: work sent to a cold server is followed by the rest that keeps to an even share
+        of what it can do. The first rest is drawn: guards against all balancers sending at the same time."""
+        told = self.settings
+        cores = max(1.0, s.spec.hint) if told.hints_are_sizes else 1.0
+        share = COLD_SAFETY * told.fall_multiple * cores * self.core_speed(s) / told.balancers
+        s.rest_until_us = max(s.rest_until_us, self.now) + int(cost_us / share)
+
     def may_warm(self, request: Request, s: ServerState) -> bool:
-        """Rule 4, slow start: balancers take turns at a cold server, by its id and start and their numbers.
-        Who has the turn may use all that is safe: an even share would be under one request."""
+        """Whether a cold server may have a request: our share allows it, and it can be served in time."""
         if not self.is_cold(s):
             return True
-        told, since_us = self.settings, max(0, self.now - (s.spec.started_us or 0))
-        if ((turn := since_us // self.turn_us) + s.order) % told.balancers != told.number:
-            return False
-        warmth = told.cold_from + (1.0 - told.cold_from) * since_us / told.cold_us
-        if turn != s.turn:
-            s.turn, s.turn_us = turn, min(1.0, COLD_SAFETY * told.fall_multiple) * warmth * self.turn_us
-        return request.cost_us <= min(s.turn_us, warmth * (request.useful_us - self.now))
+        left_us = request.useful_us - self.now
+        return s.rest_until_us <= self.now and request.cost_us <= self.core_speed(s) * left_us
 
     def pick(self, request: Request) -> ServerState | None:
         """The design's pick: of two drawn, higher payoff / (1 + in flight) wins, 1 in 20 the lower."""
@@ -350,7 +358,7 @@
         return (self.payoff(s) - crossing) / (1.0 + s.in_flight / self.limit)
 
     def send(self, request: Request, server: ServerState) -> None:
-        route, attempt = request.route, Attempt(server, self.now)
+        route, attempt = request.route, Attempt(server, self.now, request.cost_us)
         if not request.attempts:
             # None saves more than it earns of late: guards against many buckets that together hold a storm.
             route.budget.earn(EARN, max(1.0, min(TOKENS, SAVED * self.recent)))
@@ -358,7 +366,8 @@
         request.out += 1
         server.in_flight += 1
         attempt.full = server.in_flight + 1 > self.limit
-        server.turn_us -= request.cost_us
+        if self.is_cold(server):
+            self.rest(server, request.cost_us)
         route.due.append((self.now + route.patience_us, attempt))
         self.actions.append(Send(request.id, server.spec.id))
         if self.parallel(route.spec) and (wait_us := route.latency.percentile(HEDGE_AT)) is not None:
@@ -410,8 +419,9 @@
             return
         if outcome is Outcome.SUCCESS:
             s.ejections = 0
-            pace = math.log2(max(event.elapsed_us / route.cost_us, 0.01))
-            self.pace[s.spec.kind] += (pace - self.pace[s.spec.kind]) * SMOOTH
+            if not self.is_cold(s) and self.admitted >= 1.0:  # a jam tells nothing of the machines
+                step = math.log2(max(event.elapsed_us / attempt.cost_us, 0.01)) - self.pace[s.spec.kind]
+                self.pace[s.spec.kind] += step * SMOOTH * (SLOWER if step > 0.0 else 1.0)
             route.samples += 1
             if attempt.alone or route.samples < 64:  # slower and slower, lest a jam become the yardstick
                 step = (event.elapsed_us - route.cost_us) / min(route.samples, 1024)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -450,8 +450,8 @@
         for n in range(balancers)
     ]
     for balancer in group:
+        balancer.routes[0].cost_us = balancer.mean_cost_us = float(work_us)
         balancer.handle(start, [ServerList(ListKind.CACHED, tuple(cold))])
-        balancer.routes[0].cost_us = float(work_us)
     sent: list[int] = []
     number = 0
     for now in range(start, start + 4_000_000, 50_000):
@@ -471,6 +471,28 @@
         assert work <= 2.5 * warmth * window_us
 
 
+def test_a_thin_share_of_many_cold_servers_is_put_to_use() -> None:
+    """Join day, e48f6231: 40 balancers with turns at each of 36 cold servers used a fifth of them in all."""
+    told: dict[str, Any] = {"balancers": 40, "cold_us": 20_000_000, "cold_from": 0.2, "fall_multiple": 3.0,
+                            "fall_window_us": 2_000_000, "hints_are_sizes": True}
+    start, work_us, count = 50_000_000, 100_000, 30
+    cold = tuple(Server(7 + i, started_us=start, hint=2.0) for i in range(count))
+    safe = route(aim_us=1_000_000, deadline_us=2_000_000)
+    balancer = balance.Balancer(settings(safe, number=3, **told), 3)
+    balancer.routes[0].cost_us = balancer.mean_cost_us = float(work_us)
+    balancer.handle(start, [ServerList(ListKind.CACHED, cold)])
+    sent = 0
+    for now in range(start, start + 10_000_000, 50_000):
+        balancer.handle(now, [Arrived(now, 0, now + DEADLINE_US * 2, work_us=work_us)])
+        if now in balancer.requests and balancer.requests[now].attempts:
+            sent += 1
+            balancer.handle(now, [AttemptDone(now, 0, Outcome.SUCCESS, work_us, True)])
+        else:
+            balancer.handle(now, [Departed(now)])
+    can_us = sum(2.0 * (0.2 + 0.8 * t / 400) * 50_000 for t in range(200)) * count / 40
+    assert 0.5 * can_us < sent * work_us < 1.1 * can_us
+
+
 def test_a_dead_zone_is_not_panicked_into() -> None:
     here = [Server(i, zone=0) for i in range(1, 4)]
     there = [Server(i, zone=1) for i in range(11, 14)]
