Narrow the window to servers that own traffic keeps a real record of

Cause: pinetrack/balance.py, window(): one outcome in a quarter of the ask-within time was taken for a fresh record. Ruled out: ejection itself.

Design: four outcomes make a record. It trades the choice of servers against what is known of them and against kept connections. Rejected: a window for connections apart from that for records; one state has one owner.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -33,6 +33,7 @@
 COLD_SAFETY = 0.33  # part of the told cold-start budget to use: most warm sooner than told, and sends cluster
 LOCAL = 0.5  # local servers take all while one is filled under this part of its limit: crossings or waits
 MEMORY = 0.25  # part of the told ask-within time that a record lasts: fresh records against wide windows
+RECORD = 4.0  # outcomes of late that make a fresh record: knowledge, connections kept against a wide choice
 FEWEST = 4  # servers in the smallest window: one bad server must leave a choice
 
 
@@ -315,8 +316,9 @@
 
     def window(self) -> list[ServerState] | None:
         """The servers to draw from: as many as own traffic keeps a fresh record of, from a place in the order
-        set by own number. Guards against knowing none of them where many balancers share a fleet."""
-        n, width, told = len(self.candidates), max(FEWEST, int(self.recent)), self.settings
+        set by own number. Guards against knowing none of them where many balancers share a fleet, and against
+        connections that grow as balancers times servers."""
+        n, width, told = len(self.candidates), max(FEWEST, int(self.recent / RECORD)), self.settings
         if width >= n:
             return None
         ring = (self.candidates * 2)[n * told.number // told.balancers :][:n]
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -334,6 +334,18 @@
     assert not used[0] & used[1]
 
 
+def test_a_window_is_narrow_enough_to_know_its_servers() -> None:
+    """Join day, 69330487: 22 requests a second spread over 57 servers told too little of any one of them."""
+    stage = Stage(many(balancers=40, number=7), fleet())
+    for _ in range(220):
+        request = stage.arrive()
+        stage.pass_time(45_000)
+        stage.done(request, Outcome.SUCCESS, 10_000)
+    late = [sent[0] for sent in list(stage.sends.values())[-110:]]  # of the last 5 s
+    assert len(set(late)) >= balance.FEWEST
+    assert len(late) / len(set(late)) >= 5.0
+
+
 def test_windows_cover_the_fleet_evenly() -> None:
     counts: Counter[int] = Counter()
     for number in range(120):
@@ -557,7 +569,7 @@
     dear, cheap = (Stage(many(price_cross_zone=p), fleet()).balancer for p in (0.3, 0.01))
     shares = []
     for balancer in (dear, cheap):
-        balancer.recent = 12.0
+        balancer.recent = 12.0 * balance.RECORD
         window = balancer.window() or []
         assert len(window) == len({s.spec.id for s in window}) == 12
         shares.append(sum(s.spec.zone == 0 for s in window))
