Bound the attempts out at warm hosts where an own share of one is under a request

Cause: pinetrack/balance.py, __init__ and open(): the limit of a server is told off to the balancers, but never under one request each, so that with 40 of them a host of two cores may hold nine (with the window) or forty.

Design: the share of a server stays a fraction, and the sum of the shares of all warm and well servers bounds the own attempts out at them; what finds no room waits or is shed as before. A started part counts as room for one. Cold servers have their allowance and stay out of it.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -27,6 +27,7 @@
 LIMIT = 3.0  # concurrency limit of a server, over all balancers, at first: room for large machines is learned
 WAITING = 1.0  # requests in a full server that wait for others: a busy machine against jams that no one sees
 ROOM = 0.001  # what the limit gains or loses by one answer: quick to learn against steady
+ROOM_US = 50_000  # between two counts of the room for own attempts: work for each request against late news
 TARGET = 0.7  # share of attempts in time at which load shedding holds: use of the fleet against wasted work
 STEER = 4.0  # what a memory full of good or bad outcomes would move the share admitted by: speed against calm
 LEAST_ADMITTED = 0.1  # share still admitted at the worst: finding out that it is over against feeding a jam
@@ -80,8 +81,8 @@
 
 
 class Attempt:
-    def __init__(self, server: ServerState, sent_us: int, cost_us: float) -> None:
-        self.server, self.sent_us, self.cost_us = server, sent_us, cost_us
+    def __init__(self, server: ServerState, sent_us: int, cost_us: float, warm: bool) -> None:
+        self.server, self.sent_us, self.cost_us, self.warm = server, sent_us, cost_us, warm
         self.outcome: Outcome | None = None
         self.alone, self.late, self.full = not server.in_flight, False, False
 
@@ -134,7 +135,8 @@
         self.mean_cost_us = min(r.cost_us for r in self.routes)
         self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
         self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over cost, warm
-        self.limit = max(1.0, LIMIT / settings.balancers)  # own share of a server's concurrency limit
+        self.share = LIMIT / settings.balancers  # own share of a server's concurrency limit
+        self.out, self.room, self.room_until_us = 0, 1.0, 0  # own attempts out, and how many may be
         self.crowding = 1.0  # latency in a full server over the uncrowded one, smoothed
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
@@ -277,9 +279,14 @@
 
     def core_speed(self, s: ServerState) -> float:
         """Work in a unit of time that its core surely does: as warm ones of its kind, less what is cold."""
+        return float(self.warmth(s) * 2.0 ** -self.pace[s.spec.kind])
+
+    def warmth(self, s: ServerState) -> float:
+        """The part of its capacity that a server surely has by now."""
+        if not self.is_cold(s):
+            return 1.0
         told, since_us = self.settings, max(0, self.now - (s.spec.started_us or 0))
-        warmth = min(1.0, told.cold_from + (1.0 - told.cold_from) * since_us / max(1, told.cold_us))
-        return float(warmth * 2.0 ** -self.pace[s.spec.kind])
+        return told.cold_from + (1.0 - told.cold_from) * since_us / told.cold_us
 
     def rest(self, s: ServerState, cost_us: float) -> None:
         """Rule 4, slow start: work sent to a cold server is followed by the rest that keeps to an even share
@@ -343,7 +350,19 @@
         return None
 
     def open(self, request: Request, s: ServerState, part: float = 1.0) -> bool:
-        return s.in_flight + 1 <= max(1.0, part * self.limit) and self.may_send(request, s)
+        roomy = s.in_flight + 1 <= max(1.0, part * self.share)
+        return roomy and (self.is_cold(s) or self.out < self.most_out()) and self.may_send(request, s)
+
+    def most_out(self) -> float:
+        """Where an own share of one server is less than a request, the shares of all that are warm and well
+        bound the attempts out at them. Guards against many balancers with a request each at a server that
+        holds a few. (Cold servers have a bound of their own.)"""
+        if self.share >= 1.0:
+            return math.inf
+        if self.now >= self.room_until_us:
+            warm = sum(s.well(self.now) and not self.is_cold(s) for s in self.candidates)
+            self.room, self.room_until_us = max(1.0, self.share * warm), self.now + ROOM_US
+        return self.room
 
     def blocks(self, route: RouteState) -> bool:
         """Whether a route's requests run longer than another's aim: short ones behind them miss theirs."""
@@ -357,17 +376,18 @@
 
     def score(self, s: ServerState) -> float:
         crossing = self.settings.price_cross_zone * (s.spec.zone != self.settings.zone)
-        return (self.payoff(s) - crossing) / (1.0 + s.in_flight / self.limit)
+        return (self.payoff(s) - crossing) / (1.0 + s.in_flight / max(1.0, self.share))
 
     def send(self, request: Request, server: ServerState) -> None:
-        route, attempt = request.route, Attempt(server, self.now, request.cost_us)
+        route, attempt = request.route, Attempt(server, self.now, request.cost_us, not self.is_cold(server))
         if not request.attempts:
             # None saves more than it earns of late: guards against many buckets that together hold a storm.
             route.budget.earn(EARN, max(1.0, min(TOKENS, SAVED * self.recent)))
         request.attempts.append(attempt)
         request.out += 1
         server.in_flight += 1
-        attempt.full = server.in_flight + 1 > self.limit
+        self.out += attempt.warm
+        attempt.full = server.in_flight + 1 > max(1.0, self.share) or self.out + 1 > self.most_out()
         if self.is_cold(server):
             self.rest(server, request.cost_us)
         route.due.append((self.now + route.patience_us, attempt))
@@ -416,19 +436,19 @@
     def learn(self, route: RouteState, attempt: Attempt, event: AttemptDone) -> None:
         """What an outcome says of its server, its kind and its route."""
         s, outcome = attempt.server, event.outcome
-        s.overdue, s.in_flight = s.overdue - attempt.late, s.in_flight - 1
+        s.overdue, s.in_flight, self.out = s.overdue - attempt.late, s.in_flight - 1, self.out - attempt.warm
         if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
             return
         if outcome is Outcome.SUCCESS:
             s.ejections = 0
-            if not self.is_cold(s) and self.admitted >= 1.0:  # a jam tells nothing of the machines
+            if attempt.warm and self.admitted >= 1.0:  # a jam tells nothing of the machines
                 step = math.log2(max(event.elapsed_us / attempt.cost_us, 0.01)) - self.pace[s.spec.kind]
                 self.pace[s.spec.kind] += step * SMOOTH * (SLOWER if step > 0.0 else 1.0)
             route.samples += 1
             if attempt.alone or route.samples < 64:  # slower and slower, lest a jam become the yardstick
                 step = (event.elapsed_us - route.cost_us) / min(route.samples, 1024)
                 route.cost_us = max(1.0, route.cost_us + step)  # what it divides is never 0
-            if attempt.full and route.samples >= 64:
+            if attempt.full and attempt.warm and route.samples >= 64:
                 self.resize(event.elapsed_us / route.cost_us)
             aim_us = route.spec.aim_us or route.latency.percentile(0.5) or event.elapsed_us
             route.latency.append(event.elapsed_us)
@@ -451,11 +471,11 @@
         """Concurrency limit: a full server's latency tells how many of its requests wait for others. Guards
         against crowding machines that lose speed by it long before a request misses its aim."""
         self.crowding += (crowding - self.crowding) / 64
-        waiting = self.limit * self.settings.balancers * (1.0 - 1.0 / max(1.0, self.crowding))
+        waiting = self.share * self.settings.balancers * (1.0 - 1.0 / max(1.0, self.crowding))
         if waiting > WAITING:
-            self.limit = max(1.0, self.limit * (1.0 - ROOM))
+            self.share = max(1.0 / self.settings.balancers, self.share * (1.0 - ROOM))
         elif self.queued:
-            self.limit *= 1.0 + ROOM
+            self.share *= 1.0 + ROOM
 
     def freshness(self, s: ServerState) -> float:
         return math.exp(min(0, s.heard_us - self.now) / self.span_us)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -283,18 +283,40 @@
     """A churn day refused 4 of 100: the limit grew while nearly all were in time, and hosts of two cores held
     six requests each. It grows only while requests wait here and a full server is as quick as an idle one."""
     balancer = Stage(settings(), 3).balancer
-    start = balancer.limit
+    start = balancer.share
     for _ in range(500):
         balancer.resize(1.0)
-    assert balancer.limit == start
+    assert balancer.share == start
     balancer.queued = 1
     for _ in range(500):
         balancer.resize(1.0)
-    grown = balancer.limit
+    grown = balancer.share
     assert grown > 1.5 * start
     for _ in range(5000):
         balancer.resize(3.0)
-    assert 1.0 <= balancer.limit < start
+    assert 1.0 <= balancer.share < start
+
+
+def test_many_balancers_with_thin_shares_do_not_jam_the_servers_that_are_left() -> None:
+    """Zone day of seed 11: 40 balancers with one request each at every server held nine at a time at servers
+    of two cores, which choked and stayed so after the lost zone was back."""
+    balancers, left = 40, 24
+    out = 0
+    for number in range(balancers):
+        stage = Stage(settings(balancers=balancers, number=number), left, seed=number)
+        for _ in range(60):
+            stage.arrive()
+        out += sum(len(sent) for sent in stage.sends.values())
+    assert left < out <= 4 * left  # all busy, and none with more than a few that wait
+
+
+def test_room_for_attempts_comes_back_with_each_outcome() -> None:
+    stage = Stage(settings(balancers=40), 24)
+    requests = [stage.arrive() for _ in range(20)]
+    first = len(stage.sends)
+    for request in list(stage.sends):
+        stage.done(request, Outcome.SUCCESS)
+    assert 0 < first < len(stage.sends) <= len(requests)
 
 
 def test_lost_answers_do_not_use_up_the_retries_of_idle_servers() -> None:
