Let a test take a reset for the end that it waits for

Seen: test_a_client_that_never_gets_to_the_point_is_ended failed once in some fifteen runs, with a reset. A byte that the test writes while the gateway closes has the kernel reset the connection, as it may. That the connection ended is what the test is about.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from typing import Any
@@ -605,7 +606,9 @@
             client.writer.write(start[:1])
             start = start[1:] + start[:1]
             await asyncio.sleep(0.02)
-        assert await end == b"" or b" 408 " in await end or b" 400 " in await end
+        # A byte that crosses the close has it end as a reset, which is an end as well.
+        with contextlib.suppress(ConnectionResetError):
+            assert await end == b"" or b" 408 " in await end or b" 400 " in await end
 
 
 @on_loop
