Refuse what finds no room before half of the client's time is gone

Cause: pinetrack/balance.py, enqueue(): a request waits for room until it cannot meet its aim any more, whatever the client gives it; tries are given up after 40 to 80% of the class's time. Ruled out: the engine's guard (no request was left to it).

Design: the wait ends at 0.45 of the client's time at the latest. It trades room that may still come for time in which the client can ask elsewhere. Rejected: no waiting at all, which sheds each short burst.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -32,6 +32,7 @@
 STEER = 4.0  # what a memory full of good or bad outcomes would move the share admitted by: speed against calm
 LEAST_ADMITTED = 0.1  # share still admitted at the worst: finding out that it is over against feeding a jam
 COLD_SAFETY = 0.33  # part of the told cold-start budget to use: most warm sooner than told, and sends cluster
+HELD = 0.45  # part of the client's time that a request waits here at most: room may come, or a try elsewhere
 LOCAL = 0.5  # local servers take all while one is filled under this part of its limit: crossings or waits
 MEMORY = 0.25  # part of the told ask-within time that a record lasts: fresh records against wide windows
 RECORD = 4.0  # outcomes of late that make a fresh record: knowledge, connections kept against a wide choice
@@ -93,7 +94,7 @@
     def __init__(self, event: Arrived, route: RouteState, now_us: int, over: bool) -> None:
         self.id, self.route = event.request, route
         self.cost_us, self.over = float(event.work_us or route.cost_us), over
-        self.useful_us = event.give_up_us  # an answer after this is worth nothing
+        self.give_up_us = self.useful_us = event.give_up_us  # an answer after this is worth nothing
         if route.spec.aim_us is not None and not route.spec.late_worth:
             aim_us = route.spec.aim_us + int(route.spec.aim_stretch * self.cost_us)
             self.useful_us = min(self.useful_us, now_us + aim_us)
@@ -217,7 +218,8 @@
         request.route.queues[request.over].append(request)
         self.queued += 1
         due_us = request.useful_us - (request.route.latency.percentile(0.5) or request.cost_us)
-        self.alarm(due_us - self.now, self.shed, request)
+        # A refusal that takes up most of the client's time leaves it none to try elsewhere.
+        self.alarm(min(due_us - self.now, HELD * (request.give_up_us - self.now)), self.shed, request)
 
     def shed(self, request: Request) -> None:
         if not request.closed and not request.attempts:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -527,6 +527,16 @@
     assert 0.5 * can_us < sent * work_us < 1.1 * can_us
 
 
+def test_a_refusal_leaves_the_client_half_of_its_time() -> None:
+    """A client in a hurry was told to come back when hardly any of its time was left."""
+    stage = Stage(settings(clients_mark_repeats=True), 1)
+    while not stage.balancer.queued:
+        stage.arrive()
+    give_up_us = AIM_US
+    request = stage.arrive(give_up_us=give_up_us)
+    assert Refuse(request) in stage.pass_time(give_up_us // 2)
+
+
 def test_a_dead_zone_is_not_panicked_into() -> None:
     here = [Server(i, zone=0) for i in range(1, 4)]
     there = [Server(i, zone=1) for i in range(11, 14)]
