Learn from answers how much work cold servers can take

Cause: pinetrack/balance.py, rest(): the load is what the told figures make sure, but hosts start at 0.15 to 0.36 of their capacity and warm in 10 to 23 s, and some are bad.

Design: each gateway holds one figure for the work it offers cold servers. An answer in time raises it by 0.01, any other outcome takes 0.1 (one failure in eleven is where it rests); half of what tips a server over is its most. Rejected: a figure for each server, as a gateway has some five outcomes of one while it warms.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -31,7 +31,8 @@
 TARGET = 0.7  # share of attempts in time at which load shedding holds: use of the fleet against wasted work
 STEER = 4.0  # what a memory full of good or bad outcomes would move the share admitted by: speed against calm
 LEAST_ADMITTED = 0.1  # share still admitted at the worst: finding out that it is over against feeding a jam
-COLD_SAFETY = 0.33  # part of the told cold-start budget to use: most warm sooner than told, and sends cluster
+COLD_SAFETY = 0.5  # part of the told cold-start budget to use at most: sends of many balancers cluster
+COLD_GAIN, COLD_LOSS = 0.01, 0.1  # what a cold server's load gains by an answer in time, loses by another
 HELD = 0.45  # part of the client's time that a request waits here at most: room may come, or a try elsewhere
 LOCAL = 0.5  # local servers take all while one is filled under this part of its limit: crossings or waits
 MEMORY = 0.25  # part of the told ask-within time that a record lasts: fresh records against wide windows
@@ -138,6 +139,7 @@
         self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over cost, warm
         self.share = LIMIT / settings.balancers  # own share of a server's concurrency limit
         self.out, self.room, self.room_until_us = 0, 1.0, 0  # own attempts out, and how many may be
+        self.cold_load = 1.0  # work offered to cold servers in all, by what they surely can do
         self.crowding = 1.0  # latency in a full server over the uncrowded one, smoothed
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
@@ -295,7 +297,7 @@
         of what it can do. The first rest is drawn: guards against all balancers sending at the same time."""
         told = self.settings
         cores = max(1.0, s.spec.hint) if told.hints_are_sizes else 1.0
-        share = COLD_SAFETY * told.fall_multiple * cores * self.core_speed(s) / told.balancers
+        share = self.cold_load * cores * self.core_speed(s) / told.balancers
         s.rest_until_us = max(s.rest_until_us, self.now) + int(cost_us / share)
 
     def may_warm(self, request: Request, s: ServerState) -> bool:
@@ -441,6 +443,8 @@
         s.overdue, s.in_flight, self.out = s.overdue - attempt.late, s.in_flight - 1, self.out - attempt.warm
         if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
             return
+        if not attempt.warm:
+            self.thaw(outcome is Outcome.SUCCESS and event.elapsed_us <= route.patience_us)
         if outcome is Outcome.SUCCESS:
             s.ejections = 0
             if attempt.warm and self.admitted >= 1.0:  # a jam tells nothing of the machines
@@ -459,6 +463,12 @@
         if not attempt.late:
             self.blame(s)
 
+    def thaw(self, in_time: bool) -> None:
+        """Most cold servers warm sooner than told and some are bad: answers tell how much they can take."""
+        most = COLD_SAFETY * self.settings.fall_multiple
+        change = COLD_GAIN if in_time else -COLD_LOSS
+        self.cold_load = min(most, max(most / 4, self.cold_load + change))
+
     def count_overdue(self) -> None:
         """An attempt out past its aim counts zero at once; guards against servers that go silent."""
         for route in self.routes:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -527,6 +527,35 @@
     assert 0.5 * can_us < sent * work_us < 1.1 * can_us
 
 
+def cold_sends(outcome: Outcome) -> tuple[int, int]:
+    """How many requests a balancer sends to cold servers in its first and in its last half second."""
+    told: dict[str, Any] = {"cold_us": 400_000_000, "cold_from": 0.5, "fall_multiple": 3.0}
+    start, work_us = 50_000_000, 20_000
+    safe = route(aim_us=1_000_000, deadline_us=2_000_000)
+    balancer = balance.Balancer(settings(safe, balancers=4, **told), 3)
+    balancer.routes[0].cost_us = balancer.mean_cost_us = float(work_us)
+    cold = tuple(Server(i, started_us=start) for i in range(6))
+    balancer.handle(start, [ServerList(ListKind.CACHED, cold)])
+    parts = [0, 0]
+    for now in range(start, start + 10_000_000, 5_000):
+        balancer.handle(now, [Arrived(now, 0, now + 2_000_000, work_us=work_us)])
+        if now in balancer.requests and balancer.requests[now].attempts:
+            if not start + 500_000 <= now < start + 9_500_000:
+                parts[now >= start + 500_000] += 1
+            balancer.handle(now, [AttemptDone(now, 0, outcome, work_us, outcome is Outcome.SUCCESS)])
+        balancer.handle(now, [Departed(now)])
+        for s in balancer.candidates:
+            s.ejected_until_us = 0
+    return parts[0], parts[1]
+
+
+def test_cold_servers_get_more_while_they_serve_in_time_and_less_while_they_do_not() -> None:
+    early, late = cold_sends(Outcome.SUCCESS)
+    assert early * 1.2 < late < early * 2.0
+    early, late = cold_sends(Outcome.FULL)
+    assert 0 < late < early
+
+
 def test_a_refusal_leaves_the_client_half_of_its_time() -> None:
     """A client in a hurry was told to come back when hardly any of its time was left."""
     stage = Stage(settings(clients_mark_repeats=True), 1)
