Feed load shedding only with outcomes that can tell of a jam

Cause: pinetrack/balance.py, credit(): every outcome but a success in time lowers the share admitted, so that a host that is gone counts as one that is jammed. Ruled out: the room for attempts (hardly a request was shed from the queue) and hedges.

Design: failed connects, errors and resets lower a server's payoff and eject it, as before, but do not move the share admitted. Rejected: a quicker way back up; it would follow the wrong signal faster.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -40,6 +40,10 @@
 FEWEST = 4  # servers in the smallest window: one bad server must leave a choice
 
 
+# Outcomes of servers that are broken or gone. They tell of no jam, and the others can take what is asked.
+BROKEN = frozenset({Outcome.CONNECT_FAILED, Outcome.ERROR, Outcome.RESET})
+
+
 class TokenBucket:
     """A capped budget. On retries: without one they multiply the load of an outage."""
 
@@ -461,7 +465,7 @@
             if event.elapsed_us <= aim_us:
                 return self.credit(s, 1.0)
         if not attempt.late:
-            self.blame(s)
+            self.blame(s, outcome)
 
     def thaw(self, in_time: bool) -> None:
         """Most cold servers warm sooner than told and some are bad: answers tell how much they can take."""
@@ -496,18 +500,19 @@
         """What is known of a server, less sure with age: it fades to the mean of all, and so does blame."""
         return self.mean_payoff + (s.payoff - self.mean_payoff) * self.freshness(s)
 
-    def credit(self, s: ServerState, worth: float) -> None:
+    def credit(self, s: ServerState, worth: float, outcome: Outcome = Outcome.SUCCESS) -> None:
         """One outcome; of a server seen seldom it says much. Load shedding: the share admitted falls while
         too few attempts meet their aim; guards against jams that no limit of one balancer can bound."""
-        step = STEER / max(1.0 / SMOOTH, self.recent)
-        self.admitted = min(1.0, max(LEAST_ADMITTED, self.admitted + (worth - TARGET) * step))
+        if outcome not in BROKEN:
+            step = STEER / max(1.0 / SMOOTH, self.recent)
+            self.admitted = min(1.0, max(LEAST_ADMITTED, self.admitted + (worth - TARGET) * step))
         known, weight = self.payoff(s), max(SMOOTH, 1.0 - self.freshness(s))
         s.payoff, s.heard_us = known + (worth - known) * weight, self.now
         self.mean_payoff += (worth - self.mean_payoff) * SMOOTH
 
-    def blame(self, s: ServerState) -> None:
+    def blame(self, s: ServerState, outcome: Outcome = Outcome.TIMEOUT) -> None:
         """Count an outcome as zero; outlier ejection of a server that keeps failing, for longer each time."""
-        self.credit(s, 0.0)
+        self.credit(s, 0.0, outcome)
         if s.payoff >= OUTLIER or s.ejected_until_us > self.now:
             return
         # Guards against the trials of all that share a server jamming what they test.
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -310,6 +310,25 @@
     assert left < out <= 4 * left  # all busy, and none with more than a few that wait
 
 
+@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.ERROR, Outcome.RESET])
+def test_servers_that_vanish_have_no_work_refused_that_others_can_take(outcome: Outcome) -> None:
+    """Zone day, 2f012191: three in ten requests were refused for seven seconds while the rest were idle."""
+    stage = Stage(settings(clients_mark_repeats=True), 12)
+    stage.warm_up(100)
+    gone = set(range(100, 108))
+    refused = 0
+    for _ in range(300):
+        request = stage.arrive()
+        refused += Refuse(request) in stage.log[-3:]
+        stage.pass_time(5_000)
+        while request in stage.balancer.requests and stage.sends[request][-1] in gone:
+            stage.done(request, outcome, 1_000)
+            stage.pass_time(10_000)
+        if request in stage.balancer.requests:
+            stage.done(request, Outcome.SUCCESS, 5_000)
+    assert not refused
+
+
 def test_room_for_attempts_comes_back_with_each_outcome() -> None:
     stage = Stage(settings(balancers=40), 24)
     requests = [stage.arrive() for _ in range(20)]
