Keep at least eight servers in a window, so that a quiet small fleet has a choice

Cause: pinetrack/balance.py, RECORD and FEWEST: with six outcomes for a record, three gateways of a quiet fleet of ten kept windows of five, and keyed requests that only a cell may repeat found no server there.

Design: eight servers at least, under the nine that the large fleet's traffic gives. It trades what a restarted gateway knows of its first servers.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -37,7 +37,7 @@
 LOCAL = 0.5  # local servers take all while one is filled under this part of its limit: crossings or waits
 MEMORY = 0.25  # part of the told ask-within time that a record lasts: fresh records against wide windows
 RECORD = 6.0  # outcomes of late that make a fresh record: knowledge, connections kept against a wide choice
-FEWEST = 4  # servers in the smallest window: one bad server must leave a choice
+FEWEST = 8  # servers in the smallest window: one bad server must leave a choice
 
 
 # Outcomes of servers that are broken or gone. They tell of no jam, and the others can take what is asked.
