Let a turn at a cold host lapse, so that a burst does not find the turns of a calm stretch

Cause: pinetrack/balance.py, rest() and may_warm(): an own rest that is over stays over, so that in a calm stretch the turns of all gateways add up, and the first burst uses them all within one window. Ruled out: requests without end from the start, fresh and learnt; a start told late to all at once. Design: a turn that is not used within COLD_SAFETY of the fall time comes again a whole rest later, in its phase. What is kept is then half a window's work at most. Tests: tests/test_cold_fleet.py. The burst fails without the mend; with the share of a gateway taken out nine of its 26 cases fail.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -299,15 +299,27 @@
     def rest(self, s: ServerState, cost_us: float) -> None:
         """Rule 4, slow start: work sent to a cold server is followed by the rest that keeps to an even share
         of what it can do. The first rest is drawn: guards against all balancers sending at the same time."""
+        s.rest_until_us = max(s.rest_until_us, self.now) + self.rest_us(s, cost_us)
+
+    def rest_us(self, s: ServerState, cost_us: float) -> int:
+        """How long our even share of what a cold server can do takes to do this work."""
         told = self.settings
         cores = max(1.0, s.spec.hint) if told.hints_are_sizes else 1.0
-        share = self.cold_load * cores * self.core_speed(s) / told.balancers
-        s.rest_until_us = max(s.rest_until_us, self.now) + int(cost_us / share)
+        return int(cost_us / (self.cold_load * cores * self.core_speed(s) / told.balancers))
+
+    def lapse(self, s: ServerState) -> None:
+        """A turn not used in time comes again a rest later. Guards against a burst after a calm stretch, in
+        which all balancers at once would use the turns that they kept."""
+        late_us = self.now - s.rest_until_us - COLD_SAFETY * self.settings.fall_window_us
+        if late_us > 0:
+            rest_us = max(1, self.rest_us(s, self.mean_cost_us))
+            s.rest_until_us += math.ceil(late_us / rest_us) * rest_us
 
     def may_warm(self, request: Request, s: ServerState) -> bool:
         """Whether a cold server may have a request: our share allows it, and it can be served in time."""
         if not self.is_cold(s):
             return True
+        self.lapse(s)
         left_us = request.useful_us - self.now
         return s.rest_until_us <= self.now and request.cost_us <= self.core_speed(s) * left_us
 
