Learn the speed of machines by the mean of latencies where no request tells its work

Cause: pinetrack/balance.py, learn(): with no hint the cost of each request is the route's mean latency, and pace is the mean log of latency over it, slower answers counted half. Most requests of a heavy tail lie far under their mean, so that machines look three times as quick as they are, and cold ones get three times their share. Design: where a request tells no work, the pace follows the mean of latency over cost, one answer in 64. With hints it stays as it is: there the spread is small and waits should not make a machine look slow.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -90,7 +90,7 @@
     def __init__(self, server: ServerState, sent_us: int, cost_us: float, warm: bool) -> None:
         self.server, self.sent_us, self.cost_us, self.warm = server, sent_us, cost_us, warm
         self.outcome: Outcome | None = None
-        self.alone, self.late, self.full = not server.in_flight, False, False
+        self.alone, self.late, self.full, self.hinted = not server.in_flight, False, False, True
 
 
 class Request:
@@ -98,7 +98,8 @@
 
     def __init__(self, event: Arrived, route: RouteState, now_us: int, over: bool) -> None:
         self.id, self.route = event.request, route
-        self.cost_us, self.over = float(event.work_us or route.cost_us), over
+        self.cost_us, self.hinted = float(event.work_us or route.cost_us), bool(event.work_us)
+        self.over = over
         self.give_up_us = self.useful_us = event.give_up_us  # an answer after this is worth nothing
         if route.spec.aim_us is not None and not route.spec.late_worth:
             aim_us = route.spec.aim_us + int(route.spec.aim_stretch * self.cost_us)
@@ -140,7 +141,7 @@
         self.recent, self.counted_us, self.admitted = 0.0, 0, 1.0  # requests of late; share not shed
         self.mean_cost_us = min(r.cost_us for r in self.routes)
         self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
-        self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over cost, warm
+        self.pace: dict[int, float] = {}  # of each kind of machine: log2 of mean latency over cost, warm
         self.share = LIMIT / settings.balancers  # own share of a server's concurrency limit
         self.out, self.room, self.room_until_us = 0, 1.0, 0  # own attempts out, and how many may be
         self.cold_load = 1.0  # work offered to cold servers in all, by what they surely can do
@@ -410,6 +411,7 @@
         request.out += 1
         server.in_flight += 1
         self.out += attempt.warm
+        attempt.hinted = request.hinted
         attempt.full = server.in_flight + 1 > max(1.0, self.share) or self.out + 1 > self.most_out()
         if self.is_cold(server):
             self.rest(server, request.cost_us)
@@ -467,8 +469,12 @@
         if outcome is Outcome.SUCCESS:
             s.ejections = 0
             if attempt.warm and self.admitted >= 1.0:  # a jam tells nothing of the machines
-                step = math.log2(max(event.elapsed_us / attempt.cost_us, 0.01)) - self.pace[s.spec.kind]
-                self.pace[s.spec.kind] += step * SMOOTH * (SLOWER if step > 0.0 else 1.0)
+                pace, slowness = self.pace[s.spec.kind], max(event.elapsed_us / attempt.cost_us, 0.01)
+                if attempt.hinted:
+                    step = math.log2(slowness) - pace
+                    self.pace[s.spec.kind] += step * SMOOTH * (SLOWER if step > 0.0 else 1.0)
+                else:  # over a mean cost: most are under it, and the few far over it make up for them
+                    self.pace[s.spec.kind] = math.log2(2.0**pace + (slowness - 2.0**pace) / 64)
             route.samples += 1
             if attempt.alone or route.samples < 64:  # slower and slower, lest a jam become the yardstick
                 step = (event.elapsed_us - route.cost_us) / min(route.samples, 1024)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -239,3 +239,10 @@
         fleet = Fleet(SITES["split-clinic"], 200, seed, learnt, told_after_us=8_000_000)
         fleet.play(12_000_000, idle_us=10_000_000)
         assert fleet.pressure()[0] < 1.0
+
+
+def test_work_that_nobody_tells_does_not_make_machines_look_quick() -> None:
+    """Most requests are under the mean that stands for the cost of each, and a few are far over it."""
+    alike = SITES["bratislava-desks"]._replace(io_us=0, speeds=(1.0,), speed_cv=0.0)
+    group = [b for seed in range(1, 6) for b in Fleet(alike, 5, seed, 150).group]
+    assert 0.8 < sum(2.0 ** -b.pace[0] for b in group) / len(group) < 1.25
