Spread the first turns at a cold host by the work of heavy classes, also with nothing learnt

Cause: pinetrack/balance.py, __init__() and on_arrived(): the first rest is drawn over mean_cost_us, which starts from the cheapest class and moves by a 64th, so that all first turns come at once and heavy requests take them. Ruled out: costs of routes learnt from few answers (their rests after a send are long enough). Design: the guess is the mean of the classes' guesses weighted by work, for a moment that is drawn falls into the rest of a heavy request more often than into that of a light one; it counts as one cost, and the mean is an even one until 64 are seen. Tests: four of the six new cases fail without the mend.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -139,7 +139,9 @@
         self.quotas = [TokenBucket(q) for q in settings.tenant_quotas_per_s]
         self.span_us, self.mean_payoff = MEMORY * settings.ask_within_us, UNKNOWN
         self.recent, self.counted_us, self.admitted = 0.0, 0, 1.0  # requests of late; share not shed
-        self.mean_cost_us = min(r.cost_us for r in self.routes)
+        costs = [r.cost_us for r in self.routes]
+        # A guess until learned, weighted by work: guards against first rests too short for heavy classes.
+        self.mean_cost_us, self.costs_seen = sum(c * c for c in costs) / sum(costs), 1
         self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
         self.pace: dict[int, float] = {}  # of each kind of machine: log2 of mean latency over cost, warm
         self.share = LIMIT / settings.balancers  # own share of a server's concurrency limit
@@ -201,7 +203,8 @@
         route.try_us += (left_us - route.try_us) * (SMOOTH if route.try_us else 1.0)
         request = Request(event, route, self.now, event.repeat or self.over_quota(event.tenant))
         self.requests[request.id] = request
-        self.mean_cost_us += (request.cost_us - self.mean_cost_us) / 64
+        self.costs_seen = min(64, self.costs_seen + 1)
+        self.mean_cost_us += (request.cost_us - self.mean_cost_us) / self.costs_seen
         weight = min(1.0, request.cost_us / self.mean_cost_us / 256)
         self.blocking_share += (self.blocks(route) - self.blocking_share) * weight
         # With no marks, a try that ends sooner than most by more than the aim is a repeat and has lost it.
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -246,3 +246,14 @@
     alike = SITES["bratislava-desks"]._replace(io_us=0, speeds=(1.0,), speed_cv=0.0)
     group = [b for seed in range(1, 6) for b in Fleet(alike, 5, seed, 150).group]
     assert 0.8 < sum(2.0 ** -b.pace[0] for b in group) / len(group) < 1.25
+
+
+@pytest.mark.parametrize("hints", [False, True])
+@pytest.mark.parametrize("learnt", [0, 2, 8])
+def test_first_turns_are_spread_by_the_work_of_heavy_classes_too(learnt: int, hints: bool) -> None:
+    """A short class beside a long one: spread over the short one's work, the first turns all come at once."""
+    site = SITES["upisnik-zagreb"]._replace(aims_us=(100_000, 2_000_000), works_us=(20_000, 500_000))
+    for seed in range(1, 5):
+        fleet = Fleet(site._replace(hints=hints), 100, seed, learnt)
+        fleet.play(4_000_000)
+        assert fleet.pressure()[0] < 1.0
