Know the kind of a machine also where a server is listed anew as another kind

Seen (a probe): a list that names a known server, not started anew, with a kind that no list named before; the first answer of that server ends in KeyError in learn(), and so would the gateway. Cause: pinetrack/balance.py, on_list(): a kind is entered for servers that are new or started anew only. The test fails without the mend.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -181,11 +181,11 @@
             self.servers = {i: self.servers[i] for i, *_ in event.servers if i in self.servers}
         for line in event.servers:
             known = self.servers.get(line.id)
+            self.pace.setdefault(line.kind, 0.0)
             if line.state is State.GONE:
                 self.servers.pop(line.id, None)
             elif known is None or (line.started_us or 0) > (known.spec.started_us or 0):
                 fresh = self.servers[line.id] = ServerState(line)
-                self.pace.setdefault(line.kind, 0.0)
                 if self.is_cold(fresh):
                     self.rest(fresh, self.mean_cost_us * self.random.random())
             else:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -205,6 +205,13 @@
         assert sum(1 for u in times if t - 1_000_000 < u <= t) <= 2.0 * warmth * 1_000_000 / 4000 / 2
 
 
+def test_a_server_may_be_listed_anew_as_another_kind_of_machine() -> None:
+    stage = Stage(settings(), [Server(1, kind=0)])
+    stage.feed(ServerList(ListKind.CHANGES, (Server(1, kind=4),)))
+    stage.done(stage.arrive(), Outcome.SUCCESS)
+    assert stage.balancer.servers[1].payoff > balance.UNKNOWN
+
+
 def test_a_silent_server_is_left_alone_before_its_attempts_time_out() -> None:
     stage = Stage(settings(route(Effect.UNSAFE)), 3)
     stage.warm_up(100)
