--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -90,7 +90,7 @@
     def __init__(self, server: ServerState, sent_us: int, cost_us: float, warm: bool) -> None:
         self.server, self.sent_us, self.cost_us, self.warm = server, sent_us, cost_us, warm
         self.outcome: Outcome | None = None
-        self.alone, self.late, self.full = not server.in_flight, False, False
+        self.alone, self.late, self.full, self.hinted = not server.in_flight, False, False, True
 
 
 class Request:
@@ -98,7 +98,8 @@
 
     def __init__(self, event: Arrived, route: RouteState, now_us: int, over: bool) -> None:
         self.id, self.route = event.request, route
-        self.cost_us, self.over = float(event.work_us or route.cost_us), over
+        self.cost_us, self.hinted = float(event.work_us or route.cost_us), bool(event.work_us)
+        self.over = over
         self.give_up_us = self.useful_us = event.give_up_us  # an answer after this is worth nothing
         if route.spec.aim_us is not None and not route.spec.late_worth:
             aim_us = route.spec.aim_us + int(route.spec.aim_stretch * self.cost_us)
@@ -138,9 +139,11 @@
         self.quotas = [TokenBucket(q) for q in settings.tenant_quotas_per_s]
         self.span_us, self.mean_payoff = MEMORY * settings.ask_within_us, UNKNOWN
         self.recent, self.counted_us, self.admitted = 0.0, 0, 1.0  # requests of late; share not shed
-        self.mean_cost_us = min(r.cost_us for r in self.routes)
+        costs = [r.cost_us for r in self.routes]
+        # A guess until learned, weighted by work: guards against first rests too short for heavy classes.
+        self.mean_cost_us, self.costs_seen = sum(c * c for c in costs) / sum(costs), 1
         self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
-        self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over cost, warm
+        self.pace: dict[int, float] = {}  # of each kind of machine: log2 of mean latency over cost, warm
         self.share = LIMIT / settings.balancers  # own share of a server's concurrency limit
         self.out, self.room, self.room_until_us = 0, 1.0, 0  # own attempts out, and how many may be
         self.cold_load = 1.0  # work offered to cold servers in all, by what they surely can do
@@ -178,11 +181,11 @@
             self.servers = {i: self.servers[i] for i, *_ in event.servers if i in self.servers}
         for line in event.servers:
             known = self.servers.get(line.id)
+            self.pace.setdefault(line.kind, 0.0)
             if line.state is State.GONE:
                 self.servers.pop(line.id, None)
             elif known is None or (line.started_us or 0) > (known.spec.started_us or 0):
                 fresh = self.servers[line.id] = ServerState(line)
-                self.pace.setdefault(line.kind, 0.0)
                 if self.is_cold(fresh):
                     self.rest(fresh, self.mean_cost_us * self.random.random())
             else:
@@ -200,7 +203,8 @@
         route.try_us += (left_us - route.try_us) * (SMOOTH if route.try_us else 1.0)
         request = Request(event, route, self.now, event.repeat or self.over_quota(event.tenant))
         self.requests[request.id] = request
-        self.mean_cost_us += (request.cost_us - self.mean_cost_us) / 64
+        self.costs_seen = min(64, self.costs_seen + 1)
+        self.mean_cost_us += (request.cost_us - self.mean_cost_us) / self.costs_seen
         weight = min(1.0, request.cost_us / self.mean_cost_us / 256)
         self.blocking_share += (self.blocks(route) - self.blocking_share) * weight
         # With no marks, a try that ends sooner than most by more than the aim is a repeat and has lost it.
@@ -299,15 +303,27 @@
     def rest(self, s: ServerState, cost_us: float) -> None:
         """Rule 4, slow start: work sent to a cold server is followed by the rest that keeps to an even share
         of what it can do. The first rest is drawn: guards against all balancers sending at the same time."""
+        s.rest_until_us = max(s.rest_until_us, self.now) + self.rest_us(s, cost_us)
+
+    def rest_us(self, s: ServerState, cost_us: float) -> int:
+        """How long our even share of what a cold server can do takes to do this work."""
         told = self.settings
         cores = max(1.0, s.spec.hint) if told.hints_are_sizes else 1.0
-        share = self.cold_load * cores * self.core_speed(s) / told.balancers
-        s.rest_until_us = max(s.rest_until_us, self.now) + int(cost_us / share)
+        return int(cost_us / (self.cold_load * cores * self.core_speed(s) / told.balancers))
+
+    def lapse(self, s: ServerState) -> None:
+        """A turn not used in time comes again a rest later. Guards against a burst after a calm stretch, in
+        which all balancers at once would use the turns that they kept."""
+        late_us = self.now - s.rest_until_us - COLD_SAFETY * self.settings.fall_window_us
+        if late_us > 0:
+            rest_us = max(1, self.rest_us(s, self.mean_cost_us))
+            s.rest_until_us += math.ceil(late_us / rest_us) * rest_us
 
     def may_warm(self, request: Request, s: ServerState) -> bool:
         """Whether a cold server may have a request: our share allows it, and it can be served in time."""
         if not self.is_cold(s):
             return True
+        self.lapse(s)
         left_us = request.useful_us - self.now
         return s.rest_until_us <= self.now and request.cost_us <= self.core_speed(s) * left_us
 
@@ -398,6 +414,7 @@
         request.out += 1
         server.in_flight += 1
         self.out += attempt.warm
+        attempt.hinted = request.hinted
         attempt.full = server.in_flight + 1 > max(1.0, self.share) or self.out + 1 > self.most_out()
         if self.is_cold(server):
             self.rest(server, request.cost_us)
@@ -455,8 +472,12 @@
         if outcome is Outcome.SUCCESS:
             s.ejections = 0
             if attempt.warm and self.admitted >= 1.0:  # a jam tells nothing of the machines
-                step = math.log2(max(event.elapsed_us / attempt.cost_us, 0.01)) - self.pace[s.spec.kind]
-                self.pace[s.spec.kind] += step * SMOOTH * (SLOWER if step > 0.0 else 1.0)
+                pace, slowness = self.pace[s.spec.kind], max(event.elapsed_us / attempt.cost_us, 0.01)
+                if attempt.hinted:
+                    step = math.log2(slowness) - pace
+                    self.pace[s.spec.kind] += step * SMOOTH * (SLOWER if step > 0.0 else 1.0)
+                else:  # over a mean cost: most are under it, and the few far over it make up for them
+                    self.pace[s.spec.kind] = math.log2(2.0**pace + (slowness - 2.0**pace) / 64)
             route.samples += 1
             if attempt.alone or route.samples < 64:  # slower and slower, lest a jam become the yardstick
                 step = (event.elapsed_us - route.cost_us) / min(route.samples, 1024)
