Let what finds no room wait a fifth of its aim at most, also where late answers count

Cause: on bratislava-desks half of the requests waited 0.2 to 0.6 s for their first attempt.

Design: a wait ends at a fifth of what is left to the aim, whatever late answers are worth. A try elsewhere has to come in time too, and the front spreads the client's tries over gateways, whose room and traffic differ.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -33,7 +33,7 @@
 LEAST_ADMITTED = 0.1  # share still admitted at the worst: finding out that it is over against feeding a jam
 COLD_SAFETY = 0.5  # part of the told cold-start budget to use at most: sends of many balancers cluster
 COLD_GAIN, COLD_LOSS = 0.01, 0.1  # what a cold server's load gains by an answer in time, loses by another
-HELD = 0.45  # part of the client's time that a request waits here at most: room may come, or a try elsewhere
+HELD = 0.2  # part of its aim that a request waits here at most: room may come, against tries elsewhere
 LOCAL = 0.5  # local servers take all while one is filled under this part of its limit: crossings or waits
 MEMORY = 0.25  # part of the told ask-within time that a record lasts: fresh records against wide windows
 RECORD = 6.0  # outcomes of late that make a fresh record: knowledge, connections kept against a wide choice
@@ -100,10 +100,11 @@
         self.id, self.route = event.request, route
         self.cost_us, self.hinted = float(event.work_us or route.cost_us), bool(event.work_us)
         self.over = over
-        self.give_up_us = self.useful_us = event.give_up_us  # an answer after this is worth nothing
-        if route.spec.aim_us is not None and not route.spec.late_worth:
+        self.give_up_us = self.aimed_us = event.give_up_us  # an answer after `aimed_us` is worth less
+        if route.spec.aim_us is not None:
             aim_us = route.spec.aim_us + int(route.spec.aim_stretch * self.cost_us)
-            self.useful_us = min(self.useful_us, now_us + aim_us)
+            self.aimed_us = min(self.give_up_us, now_us + aim_us)
+        self.useful_us = self.give_up_us if route.spec.late_worth else self.aimed_us  # after this, nothing
         self.attempts: list[Attempt] = []
         self.out, self.groups, self.closed = 0, 0, False
 
@@ -227,9 +228,9 @@
         """Hold a request in the gateway. Rule 1: its alarm ends it once it can no longer meet its aim."""
         request.route.queues[request.over].append(request)
         self.queued += 1
-        due_us = request.useful_us - (request.route.latency.percentile(0.5) or request.cost_us)
-        # A refusal that takes up most of the client's time leaves it none to try elsewhere.
-        self.alarm(min(due_us - self.now, HELD * (request.give_up_us - self.now)), self.shed, request)
+        due_us = request.aimed_us - (request.route.latency.percentile(0.5) or request.cost_us)
+        # A try elsewhere has to come in time as well, and others may have room while there is none here.
+        self.alarm(min(due_us - self.now, HELD * (request.aimed_us - self.now)), self.shed, request)
 
     def shed(self, request: Request) -> None:
         if not request.closed and not request.attempts:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -601,6 +601,18 @@
     assert Refuse(request) in stage.pass_time(give_up_us // 2)
 
 
+@pytest.mark.parametrize("late_worth", [0.0, 0.2])
+def test_a_wait_leaves_most_of_the_aim_for_a_try_elsewhere(late_worth: float) -> None:
+    """On bratislava-desks, where late answers have a worth, requests waited their whole aim away at balancers
+    with no room, and others had some."""
+    stage = Stage(settings(route(late_worth=late_worth), clients_mark_repeats=True), 1)
+    while not stage.balancer.queued:
+        stage.arrive()
+    request = stage.arrive(give_up_us=5 * AIM_US)
+    assert Refuse(request) not in stage.pass_time(AIM_US // 10)
+    assert Refuse(request) in stage.pass_time(AIM_US // 5)
+
+
 def test_a_dead_zone_is_not_panicked_into() -> None:
     here = [Server(i, zone=0) for i in range(1, 4)]
     there = [Server(i, zone=1) for i in range(11, 14)]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -29,6 +29,7 @@
     FakeHost,
     Message,
     NeverUp,
+    SuddenClient,
     World,
     answer,
     break_off,
@@ -125,6 +126,25 @@
         assert await at_end(client) == b""
 
 
+@on_loop
+async def test_with_no_room_a_client_is_told_while_a_try_elsewhere_can_come_in_time() -> None:
+    """Late answers have a worth here, so that requests used to wait for most of the client's time."""
+    lane = {"name": "status-check", "semantics": "safe", "goal_time": 3_000_000, "deadline": 60_000_000,
+            "late_worth": 0.2}
+    async with world(hang, settings=told_settings(lanes=[lane])) as w:
+        balancer, clients = w.gateway.engine._balancer, []
+        while not balancer.queued:
+            clients.append(SuddenClient(w.gateway.port))
+            clients[-1].send()
+            await until(lambda: len(balancer.requests) == len(clients))
+        came = asyncio.get_running_loop().time()
+        clients[-1].socket.setblocking(False)
+        got = await asyncio.get_running_loop().sock_recv(clients[-1].socket, 65536)
+        assert got.startswith(b"HTTP/1.1 503") and b"Retry-After" in got
+        assert asyncio.get_running_loop().time() < came + 3.0
+        assert len(balancer.requests) == len(clients) - 1  # the others are still out
+
+
 # Rule 1: one final answer.
 
 
