Serve the newest first of what waits, where not all can be served

Cause: in the order of arrival all that waits goes out when its wait is nearly over, with the least of its aim left; with work of a heavy tail each part of the aim counts.

Design: `drain` takes each queue from its newest end; what has ended leaves from the oldest. Order between classes, tenants over their quota and marked repeats stays. In a short burst, where all are served, order does not matter to how many come in time.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -237,13 +237,15 @@
             self.finish(request)
 
     def drain(self) -> None:
-        """Send what waits as room allows: worth for cost first; over-quota tenants, marked repeats last."""
+        """Send what waits as room allows: worth for cost first; over-quota tenants, marked repeats last. Of
+        each the newest first: where not all can be served, the served must not have waited their aim away."""
         less = (-1.0, -self.settings.over_quota_worth)
         parts = [(less[i] * r.spec.worth / r.cost_us, q) for r in self.routes for i, q in enumerate(r.queues)]
         for _, queue in sorted(parts, key=lambda part: part[0]):
-            while queue:
-                if not queue[0].closed and not self.place(queue[0]):
-                    break
+            while queue and (queue[-1].closed or self.place(queue[-1])):
+                queue.pop()
+                self.queued -= 1
+            while queue and queue[0].closed:
                 queue.popleft()
                 self.queued -= 1
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -613,6 +613,21 @@
     assert Refuse(request) in stage.pass_time(AIM_US // 5)
 
 
+def test_where_not_all_can_be_served_the_newest_goes_first() -> None:
+    """Served in the order of arrival all wait their aim away; the newest has the most of it left."""
+    stage = Stage(settings(), 1)
+    while not stage.balancer.queued:
+        old = stage.arrive()
+    new = stage.arrive()
+    left = stage.arrive()
+    stage.feed(Departed(left))
+    for _ in range(2):
+        stage.done(min(stage.sends), Outcome.SUCCESS)
+        del stage.sends[min(stage.sends)]
+    assert list(stage.sends)[-2:] == [new, old]
+    assert not stage.balancer.queued
+
+
 def test_a_dead_zone_is_not_panicked_into() -> None:
     here = [Server(i, zone=0) for i in range(1, 4)]
     there = [Server(i, zone=1) for i in range(11, 14)]
