Tests: an answer that the kernel cannot take whole, by small buffers instead of many answers

One answer does now, with 4 KB buffers at both ends, so that its kernel part is small for certain; the test asserts that over half of it is still here, and waits for `_unread` alone. The time to linger is over by count, three looks, not by a sleep of 50 ms, and the answer has to come whole, not in whole multiples. No fault of the program.

--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 import pytest
@@ -11,7 +12,7 @@
 from quillroad import server
 from quillroad.server import ClientConnection, Server
 from quillroad.upstream import BODY_LIMIT
-from tests.net import Client, SuddenClient, World, answer, on_loop, say, serve_ok, taken, until, world
+from tests.net import SuddenClient, World, answer, on_loop, say, serve_ok, taken, until, world
 
 
 async def resting(w: World) -> tuple[SuddenClient, ClientConnection]:
@@ -94,17 +95,18 @@
         assert b"Connection: close" in await received(client)
 
 
-async def unread(w: World) -> tuple[Client, ClientConnection]:
-    """A client that has not read its answers, and its connection, which holds part of one."""
-    client = w.client()
-    await client.__aenter__()
-    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+async def unread(w: World) -> tuple[SuddenClient, ClientConnection]:
+    """A client that has not read its answer, and its connection, which holds most of it: the kernel's buffers
+    on both sides are small, so that the answer can never fit into them."""
+    client = SuddenClient(w.gateway.port, receive_buffer=4096)
     await until(lambda: bool(w.gateway.server.connections))
     [connection] = w.gateway.server.connections
-    while not connection._unread:
-        before = connection.last_change
-        client.send()
-        await until(lambda was=before: connection.last_change != was and not connection._serving)  # type: ignore[misc]
+    transport = connection._transport
+    assert transport is not None
+    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    client.send()
+    await until(lambda: connection._unread)
+    assert transport.get_write_buffer_size() > BODY_LIMIT // 2
     return client, connection
 
 
@@ -114,24 +116,33 @@
         client, connection = await unread(w)
         w.gateway.server.close_idle()
         assert connection in w.gateway.server.connections
-        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
-        while connection._unread or not connection.idle():
-            assert len((await client.receive()).body) == BODY_LIMIT
-        await client.__aexit__()
+        data = b""
+        while data.count(b"x") < BODY_LIMIT and (part := await received(client)):
+            data += part
+        assert data.count(b"x") == BODY_LIMIT
+        await until(connection.idle)
 
 
 @on_loop
 async def test_a_last_answer_is_read_whole_however_slowly(monkeypatch: pytest.MonkeyPatch) -> None:
+    looks: list[ClientConnection] = []
+    lingered = ClientConnection._lingered
+
+    def look(connection: ClientConnection) -> None:
+        looks.append(connection)
+        lingered(connection)
+
     monkeypatch.setattr(server, "LINGER_S", 0.001)
+    monkeypatch.setattr(ClientConnection, "_lingered", look)
     async with world(say(answer(b"x" * BODY_LIMIT))) as w:
         client, connection = await unread(w)
         connection._keep = False
         connection._close()
-        await asyncio.sleep(0.05)  # several turns in which the time to linger is over
-        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
-        data = await client.reader.read()
-        assert data.count(b"x") > 0
-        assert data.count(b"x") % BODY_LIMIT == 0
+        await until(lambda: len(looks) >= 3 or connection._transport is None)  # over each time
+        data = b""
+        while part := await received(client):
+            data += part
+        assert data.count(b"x") == BODY_LIMIT
 
 
 @on_loop
