Server: bind the listener itself; a start needs no resolver threads and no Unicode tables

Seen: a gateway that answered `/up` had five threads, and had imported `encodings.idna`, `stringprep` and `unicodedata`. A hook on the import showed the line: `create_server` with a host's name or address as text encodes it for the resolver, and uvloop starts its four threads to resolve it, also for 127.0.0.1. Connections to hosts and discovery do neither (one thread after a request served). Under part of a core each of the threads is one more to be scheduled before the listener is up.

The server binds its socket and gives it to the loop. Address reuse and backlog are as before.

New tests with the real process: with a known list it serves while nobody listens at discovery's address, with one thread (5 before this); with none it says 503 until discovery has told, then 200. Run 20 times in a row, also on one core with two busy loops.

--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -11,6 +11,7 @@
 import logging
 import math
 import select
+import socket
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -37,6 +38,7 @@
     b"request-timeout-ms proxy-authorization proxy-authenticate".split()
 )
 MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # with a chunked body's framing
+BACKLOG = 1024  # connections that may wait in the kernel to be accepted
 AHEAD = 2  # requests parsed ahead on one connection: clients send one at a time
 SLICE = 2048  # bytes parsed at a time, a few requests: one read can hold hundreds
 RECEIVE_S = 2.0  # for a request to come in whole, from its first byte, and for a first one to begin at all
@@ -428,8 +430,10 @@
         self._listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> int:
+        # Bound here: for a host's name the loop starts threads that resolve it, and imports what encodes it.
+        bound = socket.create_server((host, port), backlog=BACKLOG)
         self._listener = await self.loop.create_server(
-            partial(ClientConnection, self), host, port, backlog=1024
+            partial(ClientConnection, self), sock=bound, backlog=BACKLOG
         )
         port_used: int = self._listener.sockets[0].getsockname()[1]
         return port_used
--- a/tests/net.py
+++ b/tests/net.py
@@ -166,8 +166,9 @@
         told = {"generation": self.generation, "reset": whole, "instances": list(entries)}
         return json.dumps(told).encode() + b"\n"
 
-    async def start(self) -> FakeDiscovery:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, bound: socket.socket | None = None) -> FakeDiscovery:
+        sock = bound or socket.create_server(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(self._serve, sock=sock)
         self.port: int = self._server.sockets[0].getsockname()[1]
         return self
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -54,11 +54,17 @@
     discovery = await FakeDiscovery(host.entry()).start()
     port = free_port()
     process = await program(folder, config_data(discovery.port, listen=f"127.0.0.1:{port}"))
+    await up(port)
+    return process, port
+
+
+async def up(port: int, status: int = 200) -> None:
+    """Wait until `/up` says so."""
     while True:
         try:
             async with Client(port) as client:
-                if (await client.ask("/up", method="GET")).status == 200:
-                    return process, port
+                if (await client.ask("/up", method="GET")).status == status:
+                    return
         except OSError:
             pass
         await asyncio.sleep(0.02)
@@ -70,6 +76,38 @@
     return await process.wait(), text
 
 
+@on_loop
+async def test_a_known_list_is_enough_to_be_ready(tmp_path: Path) -> None:
+    """A restart while discovery is down: nobody listens at its address."""
+    host, port = await FakeHost().start(), free_port()
+    known = {"generation": 41, "reset": True, "instances": [host.entry()]}
+    with socket.socket() as nobody:
+        nobody.bind(("127.0.0.1", 0))
+        told = config_data(nobody.getsockname()[1], listen=f"127.0.0.1:{port}", known=known)
+        process = await program(tmp_path, told)
+        await up(port)
+        async with Client(port) as client:
+            assert (await client.ask()).status == 200
+        threads = list(Path(f"/proc/{process.pid}/task").iterdir())
+        assert len(threads) == 1  # no address had to be resolved
+        process.send_signal(signal.SIGTERM)
+        assert (await ended(process))[0] == 0
+
+
+@on_loop
+async def test_with_no_known_list_it_is_ready_once_discovery_has_told(tmp_path: Path) -> None:
+    host, port = await FakeHost().start(), free_port()
+    with socket.socket() as later:
+        later.bind(("127.0.0.1", 0))
+        told = config_data(later.getsockname()[1], listen=f"127.0.0.1:{port}", known={})
+        process = await program(tmp_path, told)
+        await up(port, 503)
+        await FakeDiscovery(host.entry()).start(later)
+        await up(port)
+        process.send_signal(signal.SIGTERM)
+        assert (await ended(process))[0] == 0
+
+
 @on_loop
 async def test_sigterm_answers_what_was_taken(tmp_path: Path) -> None:
     """A restart loses nothing that is open, also when its answer comes after all idle connections ended."""
