Start: no pathlib, and a test that counts what a start imports

Nearly all of the time to be ready is imports: of 345 million user instructions to the first 200 on `/up`, 342 are the import of `quillroad.__main__`, and 246 of these the interpreter, asyncio, uvloop (which imports ssl, subprocess and inspect by itself), httptools and logging.

Looked at and left: the collector off while importing (16 million instructions, and imports in odd places), dataclasses and named tuples of the module's interface (41 million with `random`; they are its form), its annotations evaluated at once (3 million). With bytecode out of date a start costs 373 million, so the build's `compileall` matters. The bare interpreter holds 10.7 MB: a process that hangs at 4 MB has not run a line of ours.

`config` opens its file without pathlib, the one user of it.

--- a/quillroad/config.py
+++ b/quillroad/config.py
@@ -9,7 +9,6 @@
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, fields
-from pathlib import Path
 from typing import Any
 
 from pinetrack.benchlink import read_settings
@@ -99,7 +98,8 @@
     if not path:
         raise ConfigError("GW_CONFIG: missing")
     try:
-        data = json.loads(Path(path).read_text(encoding="utf-8"))
+        with open(path, encoding="utf-8") as file:
+            data = json.load(file)
     except OSError as error:
         raise ConfigError(f"GW_CONFIG: cannot read {path}: {error.strerror}") from None
     except (ValueError, RecursionError) as error:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib.util
 import json
 import os
 import signal
@@ -108,6 +109,36 @@
         assert (await ended(process))[0] == 0
 
 
+# What a start imports beside the event loop and the parser. Each import is a part of the time to be ready.
+IMPORTED = {
+    "__future__", "bisect", "copy", "dataclasses", "hashlib", "importlib", "ipaddress", "json", "pinetrack",
+    "quillroad", "random", "runpy", "urllib", "zlib",
+}
+
+
+def imports(text: str) -> set[str]:
+    """The modules in Python's own report on a process's imports."""
+    return {line.rpartition("|")[2].strip() for line in text.splitlines() if line.startswith("import time:")}
+
+
+@on_loop
+async def test_a_start_imports_no_more_than_it_needs(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
+    base = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", "import httptools, uvloop", stdout=PIPE, stderr=PIPE
+    )
+    _, text = await ended(base)
+    host = await FakeHost().start()
+    process, port = await started(tmp_path, host)
+    async with Client(port) as client:
+        assert (await client.ask()).status == 200
+    process.send_signal(signal.SIGTERM)
+    added = imports((await ended(process))[1]) - imports(text)
+    tops = {name.partition(".")[0] for name in added}
+    public = {name for name in tops if not name.startswith("_") or name == "__future__"}
+    assert {name for name in public if importlib.util.find_spec(name)} == IMPORTED
+
+
 @on_loop
 async def test_sigterm_answers_what_was_taken(tmp_path: Path) -> None:
     """A restart loses nothing that is open, also when its answer comes after all idle connections ended."""
