--- a/tests/net.py
+++ b/tests/net.py
@@ -166,12 +166,14 @@
         told = {"generation": self.generation, "reset": whole, "instances": list(entries)}
         return json.dumps(told).encode() + b"\n"
 
-    async def start(self) -> FakeDiscovery:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, bound: socket.socket | None = None) -> FakeDiscovery:
+        sock = bound or socket.create_server(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(self._serve, sock=sock)
         self.port: int = self._server.sockets[0].getsockname()[1]
         return self
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        number: int | None = None
         try:
             message = await read_message(reader)
             target = message.first.split()[1]
@@ -185,11 +187,12 @@
             self.send(self.first)
             self.asked.put_nowait(target)
             await reader.read()
-            self.ended.put_nowait(number)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             writer.close()
+            if number is not None:  # also by RST, which is how it ends with bytes unread at the gateway
+                self.ended.put_nowait(number)
 
     def send(self, data: bytes) -> None:
         self.watches[-1].write(b"%x\r\n%b\r\n" % (len(data), data))
@@ -265,8 +268,11 @@
     """A client that acts within one turn of the loop: what it does is in the kernel when the call returns,
     and the gateway's loop has not told of it."""
 
-    def __init__(self, port: int) -> None:
-        self.socket = socket.create_connection(("127.0.0.1", port))
+    def __init__(self, port: int, receive_buffer: int | None = None) -> None:
+        self.socket = socket.socket()
+        if receive_buffer is not None:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.socket.connect(("127.0.0.1", port))
 
     def send(self, path: str = "/status-check/k1", count: int = 1) -> list[str]:
         requests = [client_request(path) for _ in range(count)]
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib.util
 import json
 import os
 import signal
@@ -54,11 +55,17 @@
     discovery = await FakeDiscovery(host.entry()).start()
     port = free_port()
     process = await program(folder, config_data(discovery.port, listen=f"127.0.0.1:{port}"))
+    await up(port)
+    return process, port
+
+
+async def up(port: int, status: int = 200) -> None:
+    """Wait until `/up` says so."""
     while True:
         try:
             async with Client(port) as client:
-                if (await client.ask("/up", method="GET")).status == 200:
-                    return process, port
+                if (await client.ask("/up", method="GET")).status == status:
+                    return
         except OSError:
             pass
         await asyncio.sleep(0.02)
@@ -70,6 +77,68 @@
     return await process.wait(), text
 
 
+@on_loop
+async def test_a_known_list_is_enough_to_be_ready(tmp_path: Path) -> None:
+    """A restart while discovery is down: nobody listens at its address."""
+    host, port = await FakeHost().start(), free_port()
+    known = {"generation": 41, "reset": True, "instances": [host.entry()]}
+    with socket.socket() as nobody:
+        nobody.bind(("127.0.0.1", 0))
+        told = config_data(nobody.getsockname()[1], listen=f"127.0.0.1:{port}", known=known)
+        process = await program(tmp_path, told)
+        await up(port)
+        async with Client(port) as client:
+            assert (await client.ask()).status == 200
+        threads = list(Path(f"/proc/{process.pid}/task").iterdir())
+        assert len(threads) == 1  # no address had to be resolved
+        process.send_signal(signal.SIGTERM)
+        assert (await ended(process))[0] == 0
+
+
+@on_loop
+async def test_with_no_known_list_it_is_ready_once_discovery_has_told(tmp_path: Path) -> None:
+    host, port = await FakeHost().start(), free_port()
+    with socket.socket() as later:
+        later.bind(("127.0.0.1", 0))
+        told = config_data(later.getsockname()[1], listen=f"127.0.0.1:{port}", known={})
+        process = await program(tmp_path, told)
+        await up(port, 503)
+        await FakeDiscovery(host.entry()).start(later)
+        await up(port)
+        process.send_signal(signal.SIGTERM)
+        assert (await ended(process))[0] == 0
+
+
+# What a start imports beside the event loop and the parser. Each import is a part of the time to be ready.
+IMPORTED = {
+    "__future__", "bisect", "copy", "dataclasses", "hashlib", "importlib", "ipaddress", "json", "pinetrack",
+    "quillroad", "random", "runpy", "urllib", "zlib",
+}
+
+
+def imports(text: str) -> set[str]:
+    """The modules in Python's own report on a process's imports."""
+    return {line.rpartition("|")[2].strip() for line in text.splitlines() if line.startswith("import time:")}
+
+
+@on_loop
+async def test_a_start_imports_no_more_than_it_needs(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
+    base = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", "import httptools, uvloop", stdout=PIPE, stderr=PIPE
+    )
+    _, text = await ended(base)
+    host = await FakeHost().start()
+    process, port = await started(tmp_path, host)
+    async with Client(port) as client:
+        assert (await client.ask()).status == 200
+    process.send_signal(signal.SIGTERM)
+    added = imports((await ended(process))[1]) - imports(text)
+    tops = {name.partition(".")[0] for name in added}
+    public = {name for name in tops if not name.startswith("_") or name == "__future__"}
+    assert {name for name in public if importlib.util.find_spec(name)} == IMPORTED
+
+
 @on_loop
 async def test_sigterm_answers_what_was_taken(tmp_path: Path) -> None:
     """A restart loses nothing that is open, also when its answer comes after all idle connections ended."""
