Keep a descriptor for discovery and one for a reload that no client can take

Seen, by a test on a process with 256 descriptors, told as such: clients that each hold half a request fill all 256 (RESERVED lends 12 of its 24 to clients that are told, and 20 are in use by the process itself). Each call of discovery then fails with "Too many open files" until the clients are timed out, and SIGHUP cannot read its file: the old configuration stands for good.

Ruled out: that a burst in the queue of the listener takes descriptors before they count. This libuv takes one connection a turn (probe: 300 waiting ones came in 300 turns).

Design: the socket of discovery's next call is made in the turn in which the one before is closed, and the call uses it (sock_connect, sock_recv) instead of a transport, which closes a turn or more later. So one descriptor does for a watch, its successor and a move. HeldDescriptor is let go of for the one turn in which a reload reads its file. RESERVED stays: no count can be sure of descriptors that others open.

The test fails without either: "Too many open files" in the log, or the new discovery is never called.

--- a/quillroad/__main__.py
+++ b/quillroad/__main__.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from pinetrack.balance import Balancer
-from quillroad.config import Config, ConfigError, Descriptors, changed_fields, load, reload
+from quillroad.config import Config, ConfigError, Descriptors, HeldDescriptor, changed_fields, load, reload
 from quillroad.discovery import Discovery
 from quillroad.engine import Engine
 from quillroad.server import Server
@@ -61,6 +61,7 @@
         self.engine = Engine(loop, Balancer(config.settings, config.seed), self.upstream)
         self.discovery = Discovery(config, self.engine.update)
         self.server = Server(loop, config, self.engine, descriptors, self.upstream.drop_oldest_idle)
+        self._for_reload = HeldDescriptor()
         self.port = 0
         self._sweeper: asyncio.Task[None] | None = None
 
@@ -80,7 +81,8 @@
         """Take over what a new file changes: the address of discovery. List, connections and open requests
         stay as they are, also while draining; a file that cannot work changes nothing."""
         try:
-            config = reload(environment)
+            with self._for_reload.lent():
+                config = reload(environment)
         except ConfigError as error:
             log.error("the old configuration stands: %s", error)
             return
--- a/quillroad/config.py
+++ b/quillroad/config.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import json
+import socket
 import zlib
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
@@ -17,7 +19,7 @@
 
 Address = tuple[str, int]
 
-RESERVED = 24  # descriptors for what is no connection: listener, event loop, standard streams, watch
+RESERVED = 24  # descriptors for what is no connection: listener, event loop, standard streams, watch, reload
 
 
 class ConfigError(Exception):
@@ -36,6 +38,21 @@
         return self.limit - self.used
 
 
+class HeldDescriptor:
+    """One that no client can take: free only within a block that does not wait, to open a file in it."""
+
+    def __init__(self) -> None:
+        self._held = socket.socket()
+
+    @contextmanager
+    def lent(self) -> Iterator[None]:
+        self._held.close()
+        try:
+            yield
+        finally:
+            self._held = socket.socket()
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """One gateway's configuration. The names that the sockets use stand in their order in the settings."""
--- a/quillroad/discovery.py
+++ b/quillroad/discovery.py
@@ -12,6 +12,8 @@
 import json
 import logging
 import math
+import os
+import socket
 import zlib
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
@@ -85,6 +87,30 @@
         self.ended = True
 
 
+class ReservedSocket:
+    """The descriptor of the calls. The socket of the next call is made in the very turn in which the one
+    before is closed: clients that take every descriptor there is find none in between."""
+
+    def __init__(self) -> None:
+        self._next: socket.socket | None = self._made()
+
+    @staticmethod
+    def _made() -> socket.socket:
+        made = socket.socket()
+        made.setblocking(False)
+        return made
+
+    def take(self) -> socket.socket:
+        taken, self._next = self._next or self._made(), None
+        return taken
+
+    def replace(self, used: socket.socket) -> None:
+        """Close one at once, whatever the loop still holds of it, and make the next."""
+        os.close(used.detach())
+        if self._next is None:
+            self._next = self._made()
+
+
 class Discovery:
     """One watch after another."""
 
@@ -97,6 +123,7 @@
         self._whole_due = False  # the version held is another discovery's
         self._watching = self._told = False  # whether the call under way is a watch by now, and told a list
         self._task: asyncio.Task[None] | None = None
+        self._reserve = ReservedSocket()
         settings = config.settings
         self._connect_s = CONNECT_S if settings.discovery_asks else PUSHED_ANSWER_S
         self._answer_s = ANSWER_S if settings.discovery_asks else PUSHED_ANSWER_S
@@ -177,19 +204,20 @@
         A sign of life is a whole list or an empty line between two, nothing less: bytes that trickle in, or
         an answer that stalls half way, tell nothing and must not keep a dead watch.
         """
-        loop, answer = asyncio.get_running_loop(), _Answer()
-        try:
-            async with asyncio.timeout(self._connect_s):
-                reader, writer = await asyncio.open_connection(*self.address)
-        except TimeoutError:
-            raise ConnectionError("no connection in time") from None
+        loop, answer, connection = asyncio.get_running_loop(), _Answer(), self._reserve.take()
         try:
-            host = f"{self.address[0]}:{self.address[1]}"
-            writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+            try:
+                async with asyncio.timeout(self._connect_s):
+                    await loop.sock_connect(connection, self.address)
+                    host = f"{self.address[0]}:{self.address[1]}"
+                    call = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n"
+                    await loop.sock_sendall(connection, call.encode())
+            except TimeoutError:
+                raise ConnectionError("no connection in time") from None
             silent_at = loop.time() + self._answer_s
             while not answer.ended:
                 async with asyncio.timeout_at(silent_at):
-                    data = await reader.read(65536)
+                    data = await loop.sock_recv(connection, 65536)
                 if not data:
                     break
                 begun = answer.status
@@ -202,7 +230,7 @@
                     if value:
                         self._take_value(value)
         finally:
-            writer.transport.abort()
+            self._reserve.replace(connection)
 
     def _take_value(self, value: bytes) -> None:
         try:
--- a/tests/net.py
+++ b/tests/net.py
@@ -166,11 +166,20 @@
         told = {"generation": self.generation, "reset": whole, "instances": list(entries)}
         return json.dumps(told).encode() + b"\n"
 
-    async def start(self) -> FakeDiscovery:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> FakeDiscovery:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port: int = self._server.sockets[0].getsockname()[1]
         return self
 
+    def down(self) -> None:
+        """End the watches, and refuse connections until `up`."""
+        self._server.close()
+        for watch in self.watches:
+            reset(watch)
+
+    async def up(self) -> None:
+        await self.start(self.port)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             message = await read_message(reader)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import sys
 from asyncio.subprocess import PIPE, Process
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +27,7 @@
     config_data,
     hang,
     on_loop,
+    say,
     serve_ok,
     told_settings,
     until,
@@ -236,3 +240,60 @@
         w.gateway.reload(environment)  # nothing new: the watch goes on
         assert (await client.ask()).status == 200
         assert len(successor.watches) == 1
+
+
+DESCRIPTORS = 256
+
+
+@contextlib.asynccontextmanager
+async def crowd(process: Process, port: int) -> AsyncIterator[None]:
+    """Idle clients, each in the middle of a request, that take every descriptor of the process."""
+    folder = Path(f"/proc/{process.pid}/fd")
+    with contextlib.ExitStack() as clients:
+        while len(list(folder.iterdir())) < DESCRIPTORS:
+            client = clients.enter_context(socket.create_connection(("127.0.0.1", port)))
+            with contextlib.suppress(OSError):  # turned away
+                client.sendall(b"GET /status-check/k1 HTTP/1.1\r\n")
+            await asyncio.sleep(0)
+        yield
+
+
+async def serves(port: int, body: bytes) -> None:
+    """New clients ask until the one host that is meant answers."""
+    while True:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):  # turned away
+            async with Client(port) as client:
+                if (await client.ask()).body == body:
+                    return
+
+
+@on_loop
+async def test_clients_that_take_every_descriptor_leave_discovery_its_own(tmp_path: Path) -> None:
+    """While discovery is down, and at a reload: the file has to be read, and the new one called."""
+    one, two, three = [await FakeHost(name, say(answer(name.encode()))).start() for name in ("1", "2", "3")]
+    first, second = await FakeDiscovery(one.entry()).start(), await FakeDiscovery(two.entry()).start()
+    port = free_port()
+    data = config_data(
+        first.port, listen=f"127.0.0.1:{port}", limits={"sockets": DESCRIPTORS},
+        settings=told_settings(discovery="push"),
+    )
+    process = await program(tmp_path, data)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+    await first.asked.get()
+    first.down()
+    async with crowd(process, port):
+        await first.up()
+        await first.asked.get()
+        first.tell(one.entry(lifecycle="draining"), two.entry())
+    await serves(port, b"2")
+    async with crowd(process, port):
+        (tmp_path / "config.json").write_text(json.dumps(data | {"discovery": f"127.0.0.1:{second.port}"}))
+        process.send_signal(signal.SIGHUP)
+        assert await second.asked.get() == "/discovery/hosts"
+        assert "watch=1" in await second.asked.get()
+        second.tell(two.entry(lifecycle="draining"), three.entry())
+    await serves(port, b"3")
+    process.send_signal(signal.SIGTERM)
+    code, log = await ended(process)
+    assert code == 0
+    assert "Too many open files" not in log
