Slow the calls of a fleet of thousands down no sooner than those of a smaller one

Over 200 gateways the waits grew upon the first call in vain, for such a fleet's turns were taken to be as long as at 200. But the turns measured are shorter the larger the fleet: about 0.125 s at 40, 0.0625 s at 60, under 0.02 s at 200. If those of 2,100 gateways take 0.0018 s each, 558 of them had their list within 6 s of the return after 8 s down and the last after 10.0 s, though discovery could have told all.

--- a/quillroad/pacing.py
+++ b/quillroad/pacing.py
@@ -73,7 +73,6 @@
         self._lost_most_s = min(ASKING_PART * ask_within_s, self._in_time_s)
         self._failed_s = min(max(SPREAD_LEAST_S, 4 * self._slot_s), self._in_time_s)
         self._failed_most_s = max(self._failed_s, TURN_S * gateways)
-        self._patience = PATIENT_FAILURES if self._failed_most_s <= self._in_time_s else 1
         self._random = random.Random(seed)
         self._failures = self._waited = 0  # calls that failed, one after the other; those that took a turn
         self._told_at = 0.0  # until then the list must be here: the bound of a silent watch or a move
@@ -107,7 +106,7 @@
         runs from the end: it is still kept by the calls that begin after the return, and a queue that is too
         long becomes shorter. Only where the turns of all calls take longer than the bound, which no pace
         could keep, the calls slow down to the pace of those turns: else the queue would stay too long."""
-        over = self._waited - self._patience
+        over = self._waited - PATIENT_FAILURES
         if over < 0:
             return max(AGAIN_LEAST_S, min(self._failed_s, self._in_time_s - took_s))
         return min(self._failed_s * 2.0 ** min(over, 16), self._failed_most_s)
