A drain's answer says close only where no further request lies in the kernel

Seen in a test: a client that sends its requests ahead gets `Connection: close` on the answer before, and its next request, which lay unread in the kernel in that turn, is read after the shutdown and thrown away. It had been taken: its last byte was written to a connection that this machine accepted. `ClientConnection.answer` knew of what was sent ahead only as far as this process had read.

While the gateway drains, the answer now looks at the socket in the same turn, as each close of an idle connection does. Without a drain nothing changes, and no system call is added.

The test lets the second request arrive inside the first one's answer.

--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -287,11 +287,12 @@
         """The one place that writes to a client."""
         self._opened, self._serving = None, False
         self.last_change = self._server.loop.time()
-        if self._transport is None:
+        if self._transport is None or self._look is None:
             return
-        # What was sent ahead has been taken and is owed an answer: the last one says `close`.
+        # What was sent ahead has been taken and is owed an answer, also where it lies in the kernel: the last
+        # answer says `close`.
         ahead = bool(self._backlog) or bool(self._unfed) or self._partial
-        keep = self._keep and (ahead or not self._server.draining)
+        keep = self._keep and (ahead or not self._server.draining or self._look.unread())
         lines = [b"HTTP/1.1 %d %b" % (reply.status, REASONS[reply.status])]
         body = b""
         if reply.answer is not None:
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -134,6 +134,27 @@
         assert data.count(b"x") % BODY_LIMIT == 0
 
 
+@on_loop
+async def test_a_last_answer_looks_for_what_was_sent_ahead(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A client sends ahead: its second request is in the kernel in the turn of the first answer."""
+    async with world(serve_ok) as w:
+        client, whole = SuddenClient(w.gateway.port), ClientConnection.answer
+        w.gateway.server.draining = True
+
+        def cross(connection: ClientConnection, *reply: object) -> None:
+            if not w.hosts[0].seen[1:]:
+                client.send()
+            whole(connection, *reply)  # type: ignore[arg-type]
+
+        monkeypatch.setattr(ClientConnection, "answer", cross)
+        client.send()
+        got = b""
+        while (data := await received(client)):
+            got += data
+        assert got.count(b"HTTP/1.1 200 OK") == 2
+        assert got.count(b"Connection: keep-alive") == got.count(b"Connection: close") == 1
+
+
 @on_loop
 async def test_what_comes_late_in_a_drain_is_answered_before_the_kill() -> None:
     async with world(serve_ok) as w, w.client() as client:
