Read what still comes before a connection ends after its last answer

A close over unread bytes is a reset, and with it goes what this kernel still holds of the answer. `_lingered` and `close_left` (which makes room) looked only at what this process had not handed over. A probe with a client whose window is full: of 65,536 bytes of a last answer it got 8,131 when it sent a few bytes in the moment of the close.

Both now look at the socket in the turn of the close; what has come is read and thrown away first, within the same limit on bytes. `_lingered` ends the connection by `close_left`, so that there is one such place.

Ruled out by a probe: small writes held back. uvloop sets TCP_NODELAY on accepted and on connected sockets (getsockopt gave 1 on both).

Left: bytes that come after the close, one second after the answer, to a client that has not taken it by then.

--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -328,12 +328,10 @@
             self._server.loop.call_later(LINGER_S, self._lingered)
 
     def _lingered(self) -> None:
-        """The end of the time that a last answer has, which counts once the kernel has all of it. (`sweep`
-        ends a connection whose client does not take it.)"""
-        if self._unread and self._transport is not None:
+        """The end of the time that a last answer has. (`sweep` ends a connection whose client does not take
+        it.)"""
+        if self._transport is not None and not self.close_left():
             self._server.loop.call_later(LINGER_S, self._lingered)
-        else:
-            self.abort()
 
     def eof_received(self) -> bool:
         return False  # the client has closed: the transport closes too, and an open request departs
@@ -366,10 +364,12 @@
         return True
 
     def close_left(self) -> bool:
-        """End it after its last answer, once the kernel has that."""
-        if not self._unread:
-            self.abort()
-        return not self._unread
+        """End it after its last answer, once the kernel has that; whether it ended. What comes meanwhile is
+        read first: a close on it would be a reset, which takes along what the client's kernel has not got."""
+        if self._unread or self._look is None or self._look.unread():
+            return False
+        self.abort()
+        return True
 
     def sweep(self, now: float) -> None:
         """Ends what takes too long. Guards the descriptors against clients that come and say nothing."""
--- a/tests/net.py
+++ b/tests/net.py
@@ -265,8 +265,11 @@
     """A client that acts within one turn of the loop: what it does is in the kernel when the call returns,
     and the gateway's loop has not told of it."""
 
-    def __init__(self, port: int) -> None:
-        self.socket = socket.create_connection(("127.0.0.1", port))
+    def __init__(self, port: int, receive_buffer: int = 0) -> None:
+        self.socket = socket.socket()
+        if receive_buffer:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.socket.connect(("127.0.0.1", port))
 
     def send(self, path: str = "/status-check/k1", count: int = 1) -> list[str]:
         requests = [client_request(path) for _ in range(count)]
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -134,6 +134,30 @@
         assert data.count(b"x") % BODY_LIMIT == 0
 
 
+@pytest.mark.parametrize("close", [ClientConnection._lingered, ClientConnection.close_left])
+@on_loop
+async def test_a_last_answer_is_not_reset_by_what_still_comes(
+    close: Callable[[ClientConnection], object], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A slow client: its answer is with this kernel, most of it not with its own yet, and it sends on."""
+    monkeypatch.setattr(server, "LINGER_S", 1000.0)
+    async with world(say(answer(b"x" * BODY_LIMIT))) as w:
+        client = SuddenClient(w.gateway.port, receive_buffer=4096)
+        w.gateway.server.draining = True
+        client.send()
+        await until(lambda: bool(w.gateway.server._leaving))
+        [connection] = w.gateway.server._leaving
+        assert not connection._unread
+        client.send()
+        close(connection)
+        got = b""
+        while (data := await received(client)):
+            got += data
+        assert got.count(b"x") == BODY_LIMIT
+        close(connection)  # nothing crosses this one
+        await until(lambda: not w.gateway.server.connections)
+
+
 @on_loop
 async def test_a_last_answer_looks_for_what_was_sent_ahead(monkeypatch: pytest.MonkeyPatch) -> None:
     """A client sends ahead: its second request is in the kernel in the turn of the first answer."""
