Count a deadline from when a request came, also where it lay unread in the kernel

Cause: what a client sends ahead in several writes is read only until some of it is left to parse; from then on reading is paused, and later writes lie in the kernel. Read seconds later, such a request got its whole time from then on, though its client's time ran since it was written. With a slow or silent host it would be answered that much after its time, and over half a second after it a request is lost.

When it came cannot be known, but a paused connection is looked at whenever one of its requests is answered: what is read next counts from when its kernel was last seen to hold nothing. That is too early by one answer at most, so a request may be refused early, never answered late. A connection whose reading is not paused costs nothing more.

--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -96,6 +96,7 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._unfed = b""  # read, not parsed yet
         self._read_at = server.loop.time()  # when it was read, which a client's deadline counts from
+        self._empty_at = math.inf  # with reading paused: when the kernel was last seen to hold nothing
         self._backlog: deque[_Pending] = deque()
         self._serving = False
         self._opened: OpenRequest | None = None
@@ -150,7 +151,8 @@
                 self.abort()
             return
         if not self._unfed:
-            self._read_at = self._server.loop.time()
+            # What lay unread for a while may have come at any time in it: its client counts from then on.
+            self._read_at, self._empty_at = min(self._server.loop.time(), self._empty_at), math.inf
         self._unfed += data
         self._advance()
 
@@ -178,9 +180,16 @@
         if self._ended:
             self._unfed = b""
         wait = bool(self._unfed) and not self._ended
-        if wait != self._paused and self._transport is not None:
-            self._paused = wait
-            (self._transport.pause_reading if wait else self._transport.resume_reading)()
+        if self._transport is None or self._look is None or not (wait or self._paused):
+            return
+        if not self._paused:
+            self._empty_at = self._read_at
+            self._transport.pause_reading()
+        elif not self._look.unread():
+            self._empty_at = self._server.loop.time() if wait else math.inf
+        if not wait:
+            self._transport.resume_reading()
+        self._paused = wait
 
     # The parser's side.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -29,6 +29,7 @@
     FakeHost,
     Message,
     NeverUp,
+    SuddenClient,
     World,
     answer,
     break_off,
@@ -808,3 +809,32 @@
         for _ in range(60):
             assert (await client.receive()).status in (503, 504)
         assert len({request.expires for request in asked}) == 1
+
+
+@on_loop
+async def test_the_deadline_of_a_request_that_lay_unread_counts_from_when_it_came() -> None:
+    """Its connection is not read while others wait there, and its client's time runs all the while."""
+    loop = asyncio.get_running_loop()
+
+    async def tick() -> float:
+        before = loop.time()
+        await until(lambda: loop.time() > before + 0.01)
+        return loop.time()
+
+    async with world(hang) as w:
+        asked, client, host = taken(w), SuddenClient(w.gateway.port), w.hosts[0]
+        client.send(count=60)
+        await host.came.get()
+        assert (await joined(w))._paused
+        earliest = await tick()
+        host.writers[-1].write(answer())
+        await host.came.get()
+        await tick()
+        client.send(count=60)  # stays in the kernel until the first lot is parsed
+        latest = loop.time()
+        await tick()
+        host.behave = serve_ok
+        host.writers[-1].write(answer())
+        await until(lambda: len(asked) == 120)
+        for request in asked[60:]:
+            assert earliest - 0.001 < request.expires - 9.0 < latest + 0.005
