Count a request's deadline from its last byte, for clients that write slowly

PROTOCOL: "The time of a request counts from its last byte." The gateway counted from the read that brought its first byte, so that a client which writes longer than its Request-Timeout-Ms got 503 at once, without an attempt, and one that writes a little shorter too little time for one. The limit on the time that a request may take to come in (RECEIVE_S) stays.

--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -113,7 +113,6 @@
         self._size = self._received = 0
         self._body: list[bytes] = []
         self._head = True
-        self._since = self._read_at
 
     # The transport's side.
 
@@ -245,7 +244,7 @@
                 pending = _Pending(None, self._server.up_status(), keep)
             else:
                 request = self._server.check(method, self._url, self._headers, b"".join(self._body),
-                                             self._since)
+                                             self._read_at)
                 pending = _Pending(request, 200, keep)
         except _Bad as bad:
             pending = _Pending(None, bad.status, keep, str(bad))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -33,6 +33,7 @@
     World,
     answer,
     break_off,
+    client_request,
     hang,
     on_loop,
     say,
@@ -838,3 +839,18 @@
         await until(lambda: len(asked) == 120)
         for request in asked[60:]:
             assert earliest - 0.001 < request.expires - 9.0 < latest + 0.005
+
+
+@on_loop
+async def test_the_deadline_of_a_slow_writer_counts_from_its_last_byte() -> None:
+    loop = asyncio.get_running_loop()
+    async with world(serve_ok) as w, w.client() as client:
+        asked, (_, data) = taken(w), client_request()
+        client.writer.write(data[:-2])
+        connection = await joined(w)
+        await until(lambda: connection._partial)
+        began = loop.time()
+        await until(lambda: loop.time() > began + 0.01)
+        client.writer.write(data[-2:])
+        assert (await client.receive()).status == 200
+        assert asked[0].expires - 9.0 > began + 0.005
