Tests: a client leaves by a close, a reset or the end of its sending, also with its request

Ruled out, with nothing to mend: an attempt that begins after its client left. Every test of departures now runs with a close, a reset and an end of sending, and two more let the client's end come together with its request's last bytes, in one piece and in two, with a connection to a host at hand.

--- a/tests/net.py
+++ b/tests/net.py
@@ -270,6 +270,7 @@
         if receive_buffer:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.socket.connect(("127.0.0.1", port))
+        self.left = False
 
     def send(self, path: str = "/status-check/k1", count: int = 1) -> list[str]:
         requests = [client_request(path) for _ in range(count)]
@@ -277,8 +278,21 @@
         return [number for number, _ in requests]
 
     def leave(self) -> None:
+        self.left = True
+        self.how()
+
+    def close(self) -> None:
+        self.socket.close()
+
+    def reset(self) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.socket.close()
 
+    def end_sending(self) -> None:
+        self.socket.shutdown(socket.SHUT_WR)
+
+    how = close  # to leave; tests choose another
+
 
 class Client:
     """One client connection."""
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -20,9 +20,11 @@
     SuddenClient,
     World,
     answer,
+    client_request,
     hang,
     on_loop,
     serve_ok,
+    taken,
     until,
     world,
 )
@@ -34,6 +36,11 @@
     monkeypatch.setattr(upstream, "SETTLE_S", -1.0)
 
 
+@pytest.fixture(autouse=True, params=[SuddenClient.close, SuddenClient.reset, SuddenClient.end_sending])
+def way_of_leaving(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(SuddenClient, "how", request.param)
+
+
 class HeldAlarms:
     """The module's alarms, which wait until a test lets them ring."""
 
@@ -115,7 +122,7 @@
         with monkeypatch.context() as patch:
             patch.setattr(HostConnection, "connection_made", leave)
             [number] = client.send()
-            await until(lambda: client.socket.fileno() < 0 and not w.gateway.engine._open)
+            await until(lambda: client.left and not w.gateway.engine._open)
         await settled(w)
         assert number not in ids(*w.hosts)
 
@@ -136,7 +143,7 @@
             first, second = client.send(count=2)
             await w.hosts[0].came.get()
             w.hosts[0].writers[0].write(answer())
-            await until(lambda: client.socket.fileno() < 0)
+            await until(lambda: client.left)
             await until(lambda: not w.gateway.server.connections)
         await settled(w)
         assert ids(*w.hosts).count(first) == 1
@@ -184,3 +191,21 @@
                 sudden.leave()
             await settled(w, hang)
             assert ids(*w.hosts).count(number) == copies
+
+
+@pytest.mark.parametrize("pieces", [1, 2])
+@on_loop
+async def test_right_behind_its_request(pieces: int) -> None:
+    """Its last bytes and its end are in the kernel together."""
+    async with world(serve_ok) as w:
+        async with w.client() as usual:
+            assert (await usual.ask()).status == 200  # there is a connection to write to at once
+        asked, client, (number, data) = taken(w), SuddenClient(w.gateway.port), client_request()
+        if pieces == 2:
+            client.socket.sendall(data[:20])
+            await until(lambda: any(c._partial for c in w.gateway.server.connections))
+        client.socket.sendall(data[20 * (pieces - 1):])
+        client.leave()
+        await until(lambda: bool(asked))
+        await settled(w)
+        assert number not in ids(*w.hosts)
