Serve a host's answer without a length at the connection's end, and never after a reset

Until now each such answer was taken for a reset, also where it had ended whole: a failed attempt that may have run, sent again where that is allowed and failed where it is not.

`HostConnection.eof_received` takes the end for that of an answer whose head is whole and names neither a length nor a transfer coding; its connection is not used again. All else that ends early stays a reset: half a head, an interim answer, half a told length, half a chunked body, any other coding.

As poll shows a reset connection as gone in both directions, and an event loop may report that as an end before it reads the error, the socket is looked at first.

--- a/quillroad/look.py
+++ b/quillroad/look.py
@@ -29,3 +29,7 @@
     def left(self) -> bool:
         """Whether the other side has ended its sending or is gone, however much of it is still unread."""
         return bool(self._events() & _LEFT)
+
+    def reset(self) -> bool:
+        """Whether the connection is gone in both directions, as a reset leaves it and an end does not."""
+        return bool(self._events() & (select.POLLHUP | select.POLLERR))
--- a/quillroad/upstream.py
+++ b/quillroad/upstream.py
@@ -184,22 +184,35 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._excess = True
         if self._complete:
-            self._quiet()
-            outcome = self._outcome()
-            answer = None
-            if outcome is Outcome.SUCCESS:
-                answer = Answer(b"".join(self._body), self._headers.get(b"content-type"))
-            self.attempt = attempt.connection = None
-            if self._keep and not self._excess and not self._unsent:
-                self.upstream.release(self)
-            else:
-                self.drop()
-            attempt.finish(outcome, answer)
+            self._answered(attempt)
         elif self._excess or self._received > (HEAD_LIMIT if self._head else ANSWER_LIMIT):
             self._spoilt()
         elif self._partial and self._stall is None:
             self._stall = self.upstream.later(self._stalled)
 
+    def eof_received(self) -> bool:
+        """The host's end is that of an answer that tells no length. A reset is no end: it comes with
+        `connection_lost` alone, unless the loop has read only that the connection is gone."""
+        told = b"content-length" in self._headers or b"transfer-encoding" in self._headers
+        endless = self._partial and not (self._head or self._excess or told)
+        if self.attempt is not None and endless and self._look is not None and not self._look.reset():
+            self._keep = False
+            self._answered(self.attempt)
+        return False  # the transport closes
+
+    def _answered(self, attempt: Attempt) -> None:
+        self._quiet()
+        outcome = self._outcome()
+        answer = None
+        if outcome is Outcome.SUCCESS:
+            answer = Answer(b"".join(self._body), self._headers.get(b"content-type"))
+        self.attempt = attempt.connection = None
+        if self._keep and not self._excess and not self._unsent:
+            self.upstream.release(self)
+        else:
+            self.drop()
+        attempt.finish(outcome, answer)
+
     def _stalled(self) -> None:
         """The rest of an answer is overdue, unless it waits for a loop that runs late."""
         if self.unread():
