--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -179,6 +179,23 @@
         assert got.count(b"Connection: keep-alive") == got.count(b"Connection: close") == 1
 
 
+@on_loop
+async def test_what_comes_after_the_shutdown_is_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its client is told by the end, and sends it once more on a new connection."""
+    monkeypatch.setattr(server, "LINGER_S", 1000.0)
+    async with world(serve_ok) as w:
+        asked, client = taken(w), SuddenClient(w.gateway.port)
+        w.gateway.server.draining = True
+        client.send()
+        await until(lambda: bool(w.gateway.server._leaving))
+        [connection] = w.gateway.server._leaving
+        client.send()
+        await until(lambda: connection._discarded > 0)
+        assert b"Connection: close" in await received(client)
+        assert await received(client) == b""
+        assert len(asked) == len(w.hosts[0].seen) == 1
+
+
 @on_loop
 async def test_what_comes_late_in_a_drain_is_answered_before_the_kill() -> None:
     async with world(serve_ok) as w, w.client() as client:
