--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -98,6 +98,7 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._unfed = b""  # read, not parsed yet
         self._read_at = server.loop.time()  # when it was read, which a client's deadline counts from
+        self._empty_at = math.inf  # with reading paused: when the kernel was last seen to hold nothing
         self._backlog: deque[_Pending] = deque()
         self._serving = False
         self._opened: OpenRequest | None = None
@@ -114,7 +115,6 @@
         self._size = self._received = 0
         self._body: list[bytes] = []
         self._head = True
-        self._since = self._read_at
 
     # The transport's side.
 
@@ -152,7 +152,8 @@
                 self.abort()
             return
         if not self._unfed:
-            self._read_at = self._server.loop.time()
+            # What lay unread for a while may have come at any time in it: its client counts from then on.
+            self._read_at, self._empty_at = min(self._server.loop.time(), self._empty_at), math.inf
         self._unfed += data
         self._advance()
 
@@ -180,9 +181,16 @@
         if self._ended:
             self._unfed = b""
         wait = bool(self._unfed) and not self._ended
-        if wait != self._paused and self._transport is not None:
-            self._paused = wait
-            (self._transport.pause_reading if wait else self._transport.resume_reading)()
+        if self._transport is None or self._look is None or not (wait or self._paused):
+            return
+        if not self._paused:
+            self._empty_at = self._read_at
+            self._transport.pause_reading()
+        elif not self._look.unread():
+            self._empty_at = self._server.loop.time() if wait else math.inf
+        if not wait:
+            self._transport.resume_reading()
+        self._paused = wait
 
     # The parser's side.
 
@@ -238,7 +246,7 @@
                 pending = _Pending(None, self._server.up_status(), keep)
             else:
                 request = self._server.check(method, self._url, self._headers, b"".join(self._body),
-                                             self._since)
+                                             self._read_at)
                 pending = _Pending(request, 200, keep)
         except _Bad as bad:
             pending = _Pending(None, bad.status, keep, str(bad))
@@ -289,11 +297,12 @@
         """The one place that writes to a client."""
         self._opened, self._serving = None, False
         self.last_change = self._server.loop.time()
-        if self._transport is None:
+        if self._transport is None or self._look is None:
             return
-        # What was sent ahead has been taken and is owed an answer: the last one says `close`.
+        # What was sent ahead has been taken and is owed an answer, also where it lies in the kernel: the last
+        # answer says `close`.
         ahead = bool(self._backlog) or bool(self._unfed) or self._partial
-        keep = self._keep and (ahead or not self._server.draining)
+        keep = self._keep and (ahead or not self._server.draining or self._look.unread())
         lines = [b"HTTP/1.1 %d %b" % (reply.status, REASONS[reply.status])]
         body = b""
         if reply.answer is not None:
@@ -329,12 +338,10 @@
             self._server.loop.call_later(LINGER_S, self._lingered)
 
     def _lingered(self) -> None:
-        """The end of the time that a last answer has, which counts once the kernel has all of it. (`sweep`
-        ends a connection whose client does not take it.)"""
-        if self._unread and self._transport is not None:
+        """The end of the time that a last answer has. (`sweep` ends a connection whose client does not take
+        it.)"""
+        if self._transport is not None and not self.close_left():
             self._server.loop.call_later(LINGER_S, self._lingered)
-        else:
-            self.abort()
 
     def eof_received(self) -> bool:
         return False  # the client has closed: the transport closes too, and an open request departs
@@ -367,10 +374,12 @@
         return True
 
     def close_left(self) -> bool:
-        """End it after its last answer, once the kernel has that."""
-        if not self._unread:
-            self.abort()
-        return not self._unread
+        """End it after its last answer, once the kernel has that; whether it ended. What comes meanwhile is
+        read first: a close on it would be a reset, which takes along what the client's kernel has not got."""
+        if self._unread or self._look is None or self._look.unread():
+            return False
+        self.abort()
+        return True
 
     def sweep(self, now: float) -> None:
         """Ends what takes too long. Guards the descriptors against clients that come and say nothing."""
--- a/tests/net.py
+++ b/tests/net.py
@@ -59,10 +59,13 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def close_resets(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """End a connection by RST, as a host that dies does."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    close_resets(writer.get_extra_info("socket"))
     writer.transport.abort()
 
 
@@ -289,6 +292,7 @@
         if receive_buffer is not None:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.socket.connect(("127.0.0.1", port))
+        self.left = False
 
     def send(self, path: str = "/status-check/k1", count: int = 1) -> list[str]:
         requests = [client_request(path) for _ in range(count)]
@@ -296,8 +300,21 @@
         return [number for number, _ in requests]
 
     def leave(self) -> None:
+        self.left = True
+        self.how()
+
+    def close(self) -> None:
+        self.socket.close()
+
+    def reset(self) -> None:
+        close_resets(self.socket)
         self.socket.close()
 
+    def end_sending(self) -> None:
+        self.socket.shutdown(socket.SHUT_WR)
+
+    how = close  # to leave; tests choose another
+
 
 class Client:
     """One client connection."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -33,6 +33,7 @@
     World,
     answer,
     break_off,
+    client_request,
     hang,
     on_loop,
     say,
@@ -828,3 +829,47 @@
         for _ in range(60):
             assert (await client.receive()).status in (503, 504)
         assert len({request.expires for request in asked}) == 1
+
+
+@on_loop
+async def test_the_deadline_of_a_request_that_lay_unread_counts_from_when_it_came() -> None:
+    """Its connection is not read while others wait there, and its client's time runs all the while."""
+    loop = asyncio.get_running_loop()
+
+    async def tick() -> float:
+        before = loop.time()
+        await until(lambda: loop.time() > before + 0.01)
+        return loop.time()
+
+    async with world(hang) as w:
+        asked, client, host = taken(w), SuddenClient(w.gateway.port), w.hosts[0]
+        client.send(count=60)
+        await host.came.get()
+        assert (await joined(w))._paused
+        earliest = await tick()
+        host.writers[-1].write(answer())
+        await host.came.get()
+        await tick()
+        client.send(count=60)  # stays in the kernel until the first lot is parsed
+        latest = loop.time()
+        await tick()
+        host.behave = serve_ok
+        host.writers[-1].write(answer())
+        await until(lambda: len(asked) == 120)
+        for request in asked[60:]:
+            assert earliest - 0.001 < request.expires - 9.0 < latest + 0.005
+
+
+@on_loop
+async def test_the_deadline_of_a_slow_writer_counts_from_its_last_byte() -> None:
+    loop = asyncio.get_running_loop()
+    async with world(serve_ok) as w, w.client() as client:
+        asked, (_, data) = taken(w), client_request()
+        client.writer.write(data[:-2])
+        connection = await joined(w)
+        await until(lambda: connection._partial)
+        began = loop.time()
+        await until(lambda: loop.time() > began + 0.01)
+        client.writer.write(data[-2:])
+        assert (await client.receive()).status == 200
+        assert asked[0].expires - 9.0 > began + 0.005
