Keep a process under its limit of descriptors: it holds some twenty of its own

Cause: clients are lent 12 of the 24 reserved descriptors, but the process holds about 20 itself (loop, signals, streams, listener, watch and its reserve; counted in /proc). So at 256 told, a crowd of idle clients brings it to 257 and an accept fails, where libuv closes the connection with no word.

Design: what the process holds and what is lent to those that are told of the crowd are numbers of their own. Test: 512 half requests against a process told 256 never bring it to 256; with the 24 as before it fails at 257.

--- a/quillroad/config.py
+++ b/quillroad/config.py
@@ -18,7 +18,9 @@
 
 Address = tuple[str, int]
 
-RESERVED = 24  # descriptors for what is no connection: listener, event loop, standard streams, watch, reload
+OWN = 24  # descriptors for what is no connection: listener, event loop, standard streams, watch, reload
+LENT = 12  # descriptors on which those are told that find none left
+RESERVED = OWN + LENT
 
 
 class ConfigError(Exception):
--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -21,7 +21,7 @@
 import httptools
 
 from pinetrack.interface import Effect
-from quillroad.config import RESERVED, Config, Descriptors
+from quillroad.config import LENT, Config, Descriptors
 from quillroad.engine import ClientRequest, Engine, OpenRequest, Reply
 from quillroad.look import SocketLook
 from quillroad.upstream import BODY_LIMIT, HEAD_LIMIT
@@ -464,7 +464,7 @@
         self.connections[connection] = self._unheard[connection] = None
         if len(self.connections) > self._most:
             self._end_another(connection)
-        if self._descriptors.spare() <= -RESERVED // 2 and not self._make_room():
+        if self._descriptors.spare() <= -LENT and not self._make_room():
             connection.abort()
 
     def _end_another(self, newest: ClientConnection) -> None:
