--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -20,6 +20,7 @@
     ServerList,
 )
 from quillroad import server
+from quillroad.config import RESERVED
 from quillroad.discovery import server_number
 from quillroad.engine import ClientRequest
 from quillroad.server import RECEIVE_S, UNREAD_S, ClientConnection
@@ -616,7 +617,7 @@
 @on_loop
 async def test_idle_clients_make_room_and_the_rest_is_turned_away() -> None:
     """Counting the descriptors keeps an accept from failing where nobody can be answered."""
-    async with world(hang, limits={"sockets": 24 + 8}) as w:
+    async with world(hang, limits={"sockets": RESERVED + 8}) as w:
         idle = await w.client().__aenter__()
         assert (await idle.ask("/up", method="GET")).status == 200
         busy = []
@@ -636,7 +637,7 @@
 @on_loop
 async def test_a_flood_that_says_nothing_makes_room_first(monkeypatch: pytest.MonkeyPatch) -> None:
     """Connections between two requests belong to usual clients: the never-heard go before them."""
-    async with world(serve_ok, limits={"sockets": 24 + 16}) as w, w.client() as usual:
+    async with world(serve_ok, limits={"sockets": RESERVED + 16}) as w, w.client() as usual:
         assert (await usual.ask()).status == 200
         monkeypatch.setattr(server, "UNHEARD_S", -1.0)
         silent = [await w.client().__aenter__() for _ in range(30)]
@@ -650,7 +651,7 @@
 @on_loop
 async def test_a_flood_in_one_moment_stays_within_the_clients_part() -> None:
     """Each may have its first request on the way; but the hosts' part of the descriptors is not theirs."""
-    async with world(serve_ok, limits={"sockets": 24 + 16}) as w, w.client() as usual:
+    async with world(serve_ok, limits={"sockets": RESERVED + 16}) as w, w.client() as usual:
         assert (await usual.ask()).status == 200
         silent = [await w.client().__aenter__() for _ in range(30)]
         await at_end(silent[0])
@@ -745,7 +746,7 @@
     """Bad clients hold their connection for a while after their last answer: usual ones come before them."""
     monkeypatch.setattr(server, "LINGER_S", 1000.0)
     monkeypatch.setattr(server, "UNHEARD_S", -1.0)
-    async with world(serve_ok, limits={"sockets": 24 + 16}) as w:
+    async with world(serve_ok, limits={"sockets": RESERVED + 16}) as w:
         bad = [await w.client().__aenter__() for _ in range(8)]
         for client in bad:
             client.writer.write(b"what is this\r\n\r\n")
@@ -791,7 +792,7 @@
 async def test_clients_that_ask_once_and_stay_make_place_for_others() -> None:
     """An incident: 128 of these held all the connections that clients may have for 2 s each, and two of three
     requests found none. The longest idle ends as soon as there are many."""
-    async with world(serve_ok, limits={"sockets": 24 + 40}) as w, w.client() as usual:
+    async with world(serve_ok, limits={"sockets": RESERVED + 40}) as w, w.client() as usual:
         stayed = [await w.client().__aenter__() for _ in range(15)]
         for client in stayed:
             assert (await usual.ask()).status == 200  # in use between them, it is never the longest idle
