--- a/quillroad/discovery.py
+++ b/quillroad/discovery.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import hashlib
 import ipaddress
 import json
 import logging
 import math
+import os
+import socket
 import zlib
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
@@ -85,6 +88,45 @@
         self.ended = True
 
 
+async def _connect(connection: socket.socket, address: Address) -> None:
+    """Connect a socket that does not block. (The loop's own call has threads resolve what is an address.)"""
+    error = connection.connect_ex(address)
+    if error == errno.EINPROGRESS:
+        loop, up = asyncio.get_running_loop(), asyncio.Event()
+        loop.add_writer(connection, up.set)
+        try:
+            await up.wait()
+        finally:
+            loop.remove_writer(connection)
+        error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
+
+
+class ReservedSocket:
+    """The descriptor of the calls. The socket of the next call is made in the very turn in which the one
+    before is closed: clients that take every descriptor there is find none in between."""
+
+    def __init__(self) -> None:
+        self._next: socket.socket | None = self._made()
+
+    @staticmethod
+    def _made() -> socket.socket:
+        made = socket.socket()
+        made.setblocking(False)
+        return made
+
+    def take(self) -> socket.socket:
+        taken, self._next = self._next or self._made(), None
+        return taken
+
+    def replace(self, used: socket.socket) -> None:
+        """Close one at once, whatever the loop still holds of it, and make the next."""
+        os.close(used.detach())
+        if self._next is None:
+            self._next = self._made()
+
+
 class Discovery:
     """One watch after another."""
 
@@ -97,6 +139,7 @@
         self._whole_due = False  # the version held is another discovery's
         self._watching = self._told = False  # whether the call under way is a watch by now, and told a list
         self._task: asyncio.Task[None] | None = None
+        self._reserve = ReservedSocket()
         settings = config.settings
         self._connect_s = CONNECT_S if settings.discovery_asks else PUSHED_ANSWER_S
         self._answer_s = ANSWER_S if settings.discovery_asks else PUSHED_ANSWER_S
@@ -119,8 +162,8 @@
     def _start(self, wait_s: float) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run(wait_s))
 
-    def _wait_s(self, cause: Cause) -> float:
-        return self._pacing.wait_s(cause, asyncio.get_running_loop().time())
+    def _wait_s(self, cause: Cause, took_s: float = 0.0) -> float:
+        return self._pacing.wait_s(cause, asyncio.get_running_loop().time(), took_s)
 
     def stop(self) -> None:
         if self._task is not None:
@@ -141,9 +184,11 @@
 
     async def _run(self, wait_s: float) -> None:
         """Watch for ever; a broken, silent or malformed watch is begun again at the fleet's pace."""
+        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(wait_s)
             self._watching = self._told = False
+            begun = loop.time()
             try:
                 await self._watch()
                 cause, reason = Cause.ENDED, "ended"
@@ -160,8 +205,9 @@
                 cause, reason = Cause.REFUSED, "a fault of ours"
             if not self._watching and cause is not Cause.UNANSWERED:
                 cause = Cause.FAILED
-            wait_s = self._wait_s(cause)
-            log.warning("watch of hosts lost: %s; again in %.1f s", reason, wait_s)
+            took_s = loop.time() - begun
+            wait_s = self._wait_s(cause, took_s)
+            log.warning("watch of hosts lost: %s after %.2f s; again in %.2f s", reason, took_s, wait_s)
 
     async def _watch(self) -> None:
         """One watch until its connection ends."""
@@ -177,19 +223,20 @@
         A sign of life is a whole list or an empty line between two, nothing less: bytes that trickle in, or
         an answer that stalls half way, tell nothing and must not keep a dead watch.
         """
-        loop, answer = asyncio.get_running_loop(), _Answer()
+        loop, answer, connection = asyncio.get_running_loop(), _Answer(), self._reserve.take()
         try:
-            async with asyncio.timeout(self._connect_s):
-                reader, writer = await asyncio.open_connection(*self.address)
-        except TimeoutError:
-            raise ConnectionError("no connection in time") from None
-        try:
-            host = f"{self.address[0]}:{self.address[1]}"
-            writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+            try:
+                async with asyncio.timeout(self._connect_s):
+                    await _connect(connection, self.address)
+                    host = f"{self.address[0]}:{self.address[1]}"
+                    call = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n"
+                    await loop.sock_sendall(connection, call.encode())
+            except TimeoutError:
+                raise ConnectionError("no connection in time") from None
             silent_at = loop.time() + self._answer_s
             while not answer.ended:
                 async with asyncio.timeout_at(silent_at):
-                    data = await reader.read(65536)
+                    data = await loop.sock_recv(connection, 65536)
                 if not data:
                     break
                 begun = answer.status
@@ -202,7 +249,7 @@
                     if value:
                         self._take_value(value)
         finally:
-            writer.transport.abort()
+            self._reserve.replace(connection)
 
     def _take_value(self, value: bytes) -> None:
         try:
--- a/tests/net.py
+++ b/tests/net.py
@@ -59,10 +59,13 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def close_resets(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """End a connection by RST, as a host that dies does."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    close_resets(writer.get_extra_info("socket"))
     writer.transport.abort()
 
 
@@ -100,11 +103,18 @@
         self.closed: asyncio.Queue[int] = asyncio.Queue()  # numbers of connections that the gateway ended
         self.writers: list[asyncio.StreamWriter] = []
 
-    async def start(self) -> FakeHost:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> FakeHost:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = ("127.0.0.1", self._server.sockets[0].getsockname()[1])
         return self
 
+    def down(self) -> None:
+        """Refuse connections until `up`."""
+        self._server.close()
+
+    async def up(self) -> None:
+        await self.start(self.address[1])
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         number = len(self.writers)
         self.writers.append(writer)
@@ -172,6 +182,15 @@
         self.port: int = self._server.sockets[0].getsockname()[1]
         return self
 
+    def down(self) -> None:
+        """End the watches, and refuse connections until `up`."""
+        self._server.close()
+        for watch in self.watches:
+            reset(watch)
+
+    async def up(self) -> None:
+        await self.start(socket.create_server(("127.0.0.1", self.port)))
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         number: int | None = None
         try:
@@ -273,6 +292,7 @@
         if receive_buffer is not None:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.socket.connect(("127.0.0.1", port))
+        self.left = False
 
     def send(self, path: str = "/status-check/k1", count: int = 1) -> list[str]:
         requests = [client_request(path) for _ in range(count)]
@@ -280,8 +300,21 @@
         return [number for number, _ in requests]
 
     def leave(self) -> None:
+        self.left = True
+        self.how()
+
+    def close(self) -> None:
         self.socket.close()
 
+    def reset(self) -> None:
+        close_resets(self.socket)
+        self.socket.close()
+
+    def end_sending(self) -> None:
+        self.socket.shutdown(socket.SHUT_WR)
+
+    how = close  # to leave; tests choose another
+
 
 class Client:
     """One client connection."""
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -145,6 +145,68 @@
         assert data.count(b"x") == BODY_LIMIT
 
 
+@pytest.mark.parametrize("close", [ClientConnection._lingered, ClientConnection.close_left])
+@on_loop
+async def test_a_last_answer_is_not_reset_by_what_still_comes(
+    close: Callable[[ClientConnection], object], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A slow client: its answer is with this kernel, most of it not with its own yet, and it sends on."""
+    monkeypatch.setattr(server, "LINGER_S", 1000.0)
+    async with world(say(answer(b"x" * BODY_LIMIT))) as w:
+        client = SuddenClient(w.gateway.port, receive_buffer=4096)
+        w.gateway.server.draining = True
+        client.send()
+        await until(lambda: bool(w.gateway.server._leaving))
+        [connection] = w.gateway.server._leaving
+        assert not connection._unread
+        client.send()
+        close(connection)
+        got = b""
+        while (data := await received(client)):
+            got += data
+        assert got.count(b"x") == BODY_LIMIT
+        close(connection)  # nothing crosses this one
+        await until(lambda: not w.gateway.server.connections)
+
+
+@on_loop
+async def test_a_last_answer_looks_for_what_was_sent_ahead(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A client sends ahead: its second request is in the kernel in the turn of the first answer."""
+    async with world(serve_ok) as w:
+        client, whole = SuddenClient(w.gateway.port), ClientConnection.answer
+        w.gateway.server.draining = True
+
+        def cross(connection: ClientConnection, *reply: object) -> None:
+            if not w.hosts[0].seen[1:]:
+                client.send()
+            whole(connection, *reply)  # type: ignore[arg-type]
+
+        monkeypatch.setattr(ClientConnection, "answer", cross)
+        client.send()
+        got = b""
+        while (data := await received(client)):
+            got += data
+        assert got.count(b"HTTP/1.1 200 OK") == 2
+        assert got.count(b"Connection: keep-alive") == got.count(b"Connection: close") == 1
+
+
+@on_loop
+async def test_what_comes_after_the_shutdown_is_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its client is told by the end, and sends it once more on a new connection."""
+    monkeypatch.setattr(server, "LINGER_S", 1000.0)
+    async with world(serve_ok) as w:
+        asked, client = taken(w), SuddenClient(w.gateway.port)
+        w.gateway.server.draining = True
+        client.send()
+        await until(lambda: bool(w.gateway.server._leaving))
+        [connection] = w.gateway.server._leaving
+        client.send()
+        await until(lambda: connection._discarded > 0)
+        assert b"Connection: close" in await received(client)
+        assert await received(client) == b""
+        assert len(asked) == len(w.hosts[0].seen) == 1
+
+
 @on_loop
 async def test_what_comes_late_in_a_drain_is_answered_before_the_kill() -> None:
     async with world(serve_ok) as w, w.client() as client:
