Tell a client refused for want of room to come back at once, unless load has to fall

A refusal told to stay away for `max_retry_after`, 1.5 s there against an aim of 0.5 s; most of these clients do as told, so that their next try came when nothing could be won any more, though other gateways had room.

Design: where load shedding admits all, what is given up for want of room is told the first wait between retries (1/64 of its aim, 8 ms there); where it sheds, the most that the settings allow, as before.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -233,8 +233,9 @@
         self.alarm(min(due_us - self.now, HELD * (request.aimed_us - self.now)), self.shed, request)
 
     def shed(self, request: Request) -> None:
+        """No room came here, and others may have some: unless load has to fall, its client is to try at once."""
         if not request.closed and not request.attempts:
-            self.finish(request)
+            self.finish(request, BACKOFF * request.route.patience_us if self.admitted >= 1.0 else math.inf)
 
     def drain(self) -> None:
         """Send what waits as room allows: worth for cost first; over-quota tenants, marked repeats last. Of
@@ -249,9 +250,9 @@
                 queue.popleft()
                 self.queued -= 1
 
-    def finish(self, request: Request) -> None:
-        """Rule 1: the one place that gives a final answer of our own."""
-        wait_us = self.settings.max_retry_after_us if self.settings.retry_after else 0
+    def finish(self, request: Request, away_us: float = math.inf) -> None:
+        """Rule 1: the one place that gives a final answer of our own, with advice to stay away for so long."""
+        wait_us = int(min(away_us, self.settings.max_retry_after_us)) if self.settings.retry_after else 0
         self.actions.append(Refuse(request.id, wait_us) if may_refuse(request) else Fail(request.id))
         self.close(request)
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -613,6 +613,16 @@
     assert Refuse(request) in stage.pass_time(AIM_US // 5)
 
 
+@pytest.mark.parametrize(("admitted", "away_us"), [(1.0, AIM_US * balance.BACKOFF), (0.9, 1_500_000)])
+def test_a_client_stays_away_for_long_only_where_load_has_to_fall(admitted: float, away_us: float) -> None:
+    """Clients that did as told came back when their aim was long over, though others had room at once."""
+    stage = Stage(settings(retry_after=True, max_retry_after_us=1_500_000), 1)
+    while not stage.balancer.queued:
+        request = stage.arrive()
+    stage.balancer.admitted = admitted
+    assert Refuse(request, int(away_us)) in stage.pass_time(AIM_US)
+
+
 def test_where_not_all_can_be_served_the_newest_goes_first() -> None:
     """Served in the order of arrival all wait their aim away; the newest has the most of it left."""
     stage = Stage(settings(), 1)
