--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -233,7 +233,7 @@
         self.alarm(min(due_us - self.now, HELD * (request.aimed_us - self.now)), self.shed, request)
 
     def shed(self, request: Request) -> None:
-        """No room came here, and others may have some: unless load has to fall, its client is to try at once."""
+        """No room came here. Others may have some: its client is to try at once, unless load has to fall."""
         if not request.closed and not request.attempts:
             self.finish(request, BACKOFF * request.route.patience_us if self.admitted >= 1.0 else math.inf)
 
@@ -251,7 +251,7 @@
                 self.queued -= 1
 
     def finish(self, request: Request, away_us: float = math.inf) -> None:
-        """Rule 1: the one place that gives a final answer of our own, with advice to stay away for so long."""
+        """Rule 1: the one place that gives a final answer of our own, with advice when to come back."""
         wait_us = int(min(away_us, self.settings.max_retry_after_us)) if self.settings.retry_after else 0
         self.actions.append(Refuse(request.id, wait_us) if may_refuse(request) else Fail(request.id))
         self.close(request)
