--- a/quillroad/__main__.py
+++ b/roselink/gateway/__main__.py
@@ -1,4 +1,4 @@
-"""Start, wiring, signals, reload and exit of one gateway: `python -m quillroad`."""
+"""Start, wiring, signals, reload and exit of one gateway: `python -m roselink.gateway`."""
 
 from __future__ import annotations
 
@@ -12,14 +12,22 @@
 
 import uvloop
 
-from pinetrack.balance import Balancer
-from quillroad.config import Config, ConfigError, Descriptors, HeldDescriptor, changed_fields, load, reload
-from quillroad.discovery import Discovery
-from quillroad.engine import Engine
-from quillroad.server import Server
-from quillroad.upstream import Upstream
-
-log = logging.getLogger("quillroad")
+from roselink.gateway.config import (
+    Config,
+    ConfigError,
+    Descriptors,
+    HeldDescriptor,
+    changed_fields,
+    load,
+    reload,
+)
+from roselink.gateway.discovery import Discovery
+from roselink.gateway.engine import Engine
+from roselink.gateway.server import Server
+from roselink.gateway.upstream import Upstream
+from roselink.routing.balance import Balancer
+
+log = logging.getLogger("roselink.gateway")
 
 SWEEP_S = 0.25
 ACCEPT_S = 0.55  # after SIGTERM: the front sends connections for up to 0.4 s more
@@ -144,12 +152,12 @@
     try:
         config = load(os.environ)
     except ConfigError as error:
-        print(f"quillroad: {error}", file=sys.stderr)
+        print(f"roselink.gateway: {error}", file=sys.stderr)
         return 2
     try:
         uvloop.run(serve(config))
     except ConfigError as error:
-        print(f"quillroad: {error}", file=sys.stderr)
+        print(f"roselink.gateway: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/quillroad/config.py
+++ b/roselink/gateway/config.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, fields
 from typing import Any
 
-from pinetrack.benchlink import read_settings
-from pinetrack.interface import Settings
+from roselink.routing.benchlink import read_settings
+from roselink.routing.interface import Settings
 
 Address = tuple[str, int]
 
--- a/quillroad/discovery.py
+++ b/roselink/gateway/discovery.py
@@ -21,12 +21,12 @@
 
 import httptools
 
-from pinetrack.interface import ListKind, Server, ServerList, State
-from quillroad.config import Address, Config, ConfigError, read_address
-from quillroad.framing import Framer, Malformed
-from quillroad.pacing import ANSWER_S, SILENCE_S, CallPacing, Cause
+from roselink.gateway.config import Address, Config, ConfigError, read_address
+from roselink.gateway.framing import Framer, Malformed
+from roselink.gateway.pacing import ANSWER_S, SILENCE_S, CallPacing, Cause
+from roselink.routing.interface import ListKind, Server, ServerList, State
 
-log = logging.getLogger("quillroad.discovery")
+log = logging.getLogger("roselink.gateway.discovery")
 
 STATES = {"up": State.READY, "draining": State.DRAINING, "removed": State.GONE}
 CONNECT_S = 1.0
--- a/quillroad/engine.py
+++ b/roselink/gateway/engine.py
@@ -16,8 +16,10 @@
 from functools import partial
 from typing import NamedTuple
 
-from pinetrack.balance import Balancer
-from pinetrack.interface import (
+from roselink.gateway.config import Address
+from roselink.gateway.upstream import Answer, Attempt, Host, Upstream
+from roselink.routing.balance import Balancer
+from roselink.routing.interface import (
     Action,
     Alarm,
     Arrived,
@@ -36,10 +38,8 @@
     State,
     StreamStarted,
 )
-from quillroad.config import Address
-from quillroad.upstream import Answer, Attempt, Host, Upstream
 
-log = logging.getLogger("quillroad.engine")
+log = logging.getLogger("roselink.gateway.engine")
 
 # Before the client's deadline by this much the attempts are timed out and the module says its last word:
 # room for the way to the client, for a loop that runs late and for a core that another gateway has just now.
--- a/quillroad/server.py
+++ b/roselink/gateway/server.py
@@ -20,13 +20,13 @@
 
 import httptools
 
-from pinetrack.interface import Effect
-from quillroad.config import LENT, Config, Descriptors
-from quillroad.engine import ClientRequest, Engine, OpenRequest, Reply
-from quillroad.look import SocketLook
-from quillroad.upstream import BODY_LIMIT, HEAD_LIMIT
+from roselink.gateway.config import LENT, Config, Descriptors
+from roselink.gateway.engine import ClientRequest, Engine, OpenRequest, Reply
+from roselink.gateway.look import SocketLook
+from roselink.gateway.upstream import BODY_LIMIT, HEAD_LIMIT
+from roselink.routing.interface import Effect
 
-log = logging.getLogger("quillroad.server")
+log = logging.getLogger("roselink.gateway.server")
 
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 413: b"Content Too Large",
--- a/quillroad/upstream.py
+++ b/roselink/gateway/upstream.py
@@ -16,9 +16,9 @@
 
 import httptools
 
-from pinetrack.interface import Outcome
-from quillroad.config import Address, Descriptors
-from quillroad.look import SocketLook
+from roselink.gateway.config import Address, Descriptors
+from roselink.gateway.look import SocketLook
+from roselink.routing.interface import Outcome
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
--- a/pinetrack/__init__.py
+++ b/roselink/routing/__init__.py
@@ -1,7 +1,7 @@
 """Decisions of a reverse proxy that stay good when servers fail. Start at `Balancer` and `interface`."""
 
-from pinetrack.balance import Balancer
-from pinetrack.interface import (
+from roselink.routing.balance import Balancer
+from roselink.routing.interface import (
     Action,
     Alarm,
     Arrived,
--- a/pinetrack/balance.py
+++ b/roselink/routing/balance.py
@@ -1,4 +1,4 @@
-"""Every decision of pinetrack. Its types, events and actions stand in pinetrack/interface.py."""
+"""Every decision of the gateway. Its types, events and actions stand in roselink/routing/interface.py."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from pinetrack.interface import (
+from roselink.routing.interface import (
     NEVER_RAN, Action, Alarm, Arrived, AttemptDone, Cancel, Departed, Effect, Event, Fail, Group, ListKind,
     Log, Outcome, Refuse, Route, Send, Server, ServerList, SetAlarm, Settings, State, StreamStarted, Watch,
 )
--- a/pinetrack/benchlink.py
+++ b/roselink/routing/benchlink.py
@@ -1,7 +1,7 @@
 """The simulator's wire on standard input and output: decode, one Balancer for each instance, encode.
 
 No decision is made here. The dialect's words stay in this file; the library speaks of servers and attempts.
-Run as `python -m pinetrack.benchlink`. Input that is no legal batch ends the run with status 2.
+Run as `python -m roselink.routing.benchlink`. Input that is no legal batch ends the run with status 2.
 """
 
 from __future__ import annotations
@@ -13,8 +13,8 @@
 from enum import Enum
 from typing import IO, Any, TypeVar
 
-from pinetrack.balance import Balancer
-from pinetrack.interface import (
+from roselink.routing.balance import Balancer
+from roselink.routing.interface import (
     Action,
     Alarm,
     Arrived,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from pinetrack.balance import Balancer
-from pinetrack.interface import (
+from roselink.routing.balance import Balancer
+from roselink.routing.interface import (
     Action,
     Alarm,
     Arrived,
--- a/tests/net.py
+++ b/tests/net.py
@@ -18,9 +18,9 @@
 
 import uvloop
 
-from quillroad.__main__ import Gateway
-from quillroad.config import Config, load
-from quillroad.engine import ClientRequest, OpenRequest, Reply
+from roselink.gateway.__main__ import Gateway
+from roselink.gateway.config import Config, load
+from roselink.gateway.engine import ClientRequest, OpenRequest, Reply
 
 BOUND_S = 20.0
 
--- a/tests/rulecheck.py
+++ b/tests/rulecheck.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from pinetrack.interface import (
+from roselink.routing.interface import (
     Action,
     Arrived,
     AttemptDone,
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from pinetrack import balance
-from pinetrack.interface import (
+from roselink.routing import balance
+from roselink.routing.interface import (
     Arrived,
     AttemptDone,
     Cancel,
@@ -37,7 +37,7 @@
     lines = [line for line in MODULE.read_text().splitlines() if line.strip()]
     assert len(lines) <= 1200
     assert max(map(len, lines)) <= 110
-    assert "pinetrack/interface.py" in lines[0]
+    assert "roselink/routing/interface.py" in lines[0]
 
 
 def test_bucket_is_capped_and_spends_whole_tokens() -> None:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pinetrack.benchlink import Host
+from roselink.routing.benchlink import Host
 
 PROFILE: dict[str, Any] = {
     "balancers": 1,
@@ -28,7 +28,7 @@
 
 def run(*lines: str) -> tuple[int, list[Any], str]:
     done = subprocess.run(
-        [sys.executable, "-m", "pinetrack.benchlink"],
+        [sys.executable, "-m", "roselink.routing.benchlink"],
         input="".join(line + "\n" for line in lines),
         capture_output=True,
         text=True,
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from quillroad import server
-from quillroad.server import ClientConnection, Server
-from quillroad.upstream import BODY_LIMIT
+from roselink.gateway import server
+from roselink.gateway.server import ClientConnection, Server
+from roselink.gateway.upstream import BODY_LIMIT
 from tests.net import SuddenClient, World, answer, on_loop, say, serve_ok, taken, until, world
 
 
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from pinetrack.balance import Balancer
-from pinetrack.interface import (
+from roselink.routing.balance import Balancer
+from roselink.routing.interface import (
     Alarm,
     Arrived,
     AttemptDone,
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from pinetrack.interface import Alarm, Event
-from quillroad import upstream
-from quillroad.server import ClientConnection
-from quillroad.upstream import HostConnection
+from roselink.gateway import upstream
+from roselink.gateway.server import ClientConnection
+from roselink.gateway.upstream import HostConnection
+from roselink.routing.interface import Alarm, Event
 from tests.net import (
     Behaviour,
     Client,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from quillroad import discovery
-from quillroad.pacing import ANSWER_S, CALL_S, FAILED_TOLD_S, SILENCE_S, CallPacing, Cause
+from roselink.gateway import discovery
+from roselink.gateway.pacing import ANSWER_S, CALL_S, FAILED_TOLD_S, SILENCE_S, CallPacing, Cause
 from tests.net import (
     Behaviour,
     Client,
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quillroad.framing import Framer, Malformed
+from roselink.gateway.framing import Framer, Malformed
 
 texts = st.text(st.sampled_from('{}[]"\\,: \nab'), max_size=6)
 inner = st.recursive(
@@ -64,7 +64,7 @@
             return self.inner.search(data, at)
 
     for name in ("_STRUCTURE", "_IN_TEXT"):
-        monkeypatch.setattr(f"quillroad.framing.{name}", Counted(Framer.feed.__globals__[name]))
+        monkeypatch.setattr(f"roselink.gateway.framing.{name}", Counted(Framer.feed.__globals__[name]))
     data = json.dumps({"instances": [{"id": "x" * 9}] * 500}, indent=1).encode()
     framer = Framer(2**20)
     got = [value for i in range(len(data)) for value in framer.feed(data[i : i + 1])]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,7 +9,13 @@
 
 import pytest
 
-from pinetrack.interface import (
+from roselink.gateway import server
+from roselink.gateway.config import RESERVED
+from roselink.gateway.discovery import server_number
+from roselink.gateway.engine import ClientRequest
+from roselink.gateway.server import RECEIVE_S, UNREAD_S, ClientConnection
+from roselink.gateway.upstream import HostConnection
+from roselink.routing.interface import (
     Action,
     Alarm,
     Arrived,
@@ -19,12 +25,6 @@
     Outcome,
     ServerList,
 )
-from quillroad import server
-from quillroad.config import RESERVED
-from quillroad.discovery import server_number
-from quillroad.engine import ClientRequest
-from quillroad.server import RECEIVE_S, UNREAD_S, ClientConnection
-from quillroad.upstream import HostConnection
 from tests.net import (
     Client,
     FakeHost,
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from quillroad.pacing import (
+from roselink.gateway.pacing import (
     ANSWER_S,
     CALL_S,
     FAILED_TOLD_S,
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -18,8 +18,8 @@
 
 import pytest
 
-import quillroad.__main__
-from quillroad.config import ConfigError, load
+import roselink.gateway.__main__
+from roselink.gateway.config import ConfigError, load
 from tests.net import (
     Client,
     FakeDiscovery,
@@ -43,7 +43,7 @@
     path.write_text(data if isinstance(data, str) else json.dumps(data))
     environment = {k: v for k, v in os.environ.items() if not k.startswith("GW_")} | {"GW_CONFIG": str(path)}
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "quillroad", cwd=ROOT, env=environment, stdout=PIPE, stderr=PIPE
+        sys.executable, "-m", "roselink.gateway", cwd=ROOT, env=environment, stdout=PIPE, stderr=PIPE
     )
 
 
@@ -125,9 +125,10 @@
 
 # What a start imports beside the event loop and the parser. Each import is a part of the time to be ready.
 IMPORTED = {
-    "__future__", "bisect", "copy", "dataclasses", "hashlib", "importlib", "ipaddress", "json", "pinetrack",
-    "quillroad", "random", "runpy", "urllib", "zlib",
+    "__future__", "bisect", "copy", "dataclasses", "hashlib", "importlib", "ipaddress", "json", "random",
+    "roselink", "runpy", "urllib", "zlib",
 }
+OWN_PACKAGES = {"roselink.gateway", "roselink.routing"}  # and of its own packages only these two
 
 
 def imports(text: str) -> set[str]:
@@ -151,6 +152,8 @@
     tops = {name.partition(".")[0] for name in added}
     public = {name for name in tops if not name.startswith("_") or name == "__future__"}
     assert {name for name in public if importlib.util.find_spec(name)} == IMPORTED
+    own = {".".join(name.split(".")[:2]) for name in added if name.startswith("roselink.")}
+    assert own == OWN_PACKAGES
 
 
 @on_loop
@@ -174,7 +177,7 @@
 @on_loop
 async def test_a_drain_serves_what_the_front_still_sends(monkeypatch: pytest.MonkeyPatch) -> None:
     """The front learns of the end late: new connections and those it has are served on for that time."""
-    monkeypatch.setattr(quillroad.__main__, "ACCEPT_S", 1000.0)
+    monkeypatch.setattr(roselink.gateway.__main__, "ACCEPT_S", 1000.0)
     async with world(serve_ok) as w, w.client() as before:
         assert (await before.ask()).status == 200
         drain = asyncio.ensure_future(w.gateway.drain())
@@ -305,14 +308,14 @@
         for bad in ("{", json.dumps(config_data(1, discovery="nowhere")), "[" * 200_000):
             path.write_text(bad)
             caplog.clear()
-            with caplog.at_level("INFO", "quillroad"):
+            with caplog.at_level("INFO", "roselink.gateway"):
                 w.gateway.reload(environment)
             assert len(caplog.records) == 1
             assert "old configuration stands" in caplog.text
         assert (await client.ask()).status == 200
         successor = await FakeDiscovery(w.hosts[0].entry()).start()
         path.write_text(json.dumps(config_data(successor.port, limits={"sockets": 99})))
-        with caplog.at_level("INFO", "quillroad"):
+        with caplog.at_level("INFO", "roselink.gateway"):
             w.gateway.reload(environment)
         assert "with a restart only: sockets" in caplog.text
         await until(lambda: len(successor.watches) == 1)
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -10,9 +10,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from pinetrack import balance
-from pinetrack.balance import Balancer
-from pinetrack.interface import (
+from roselink.routing import balance
+from roselink.routing.balance import Balancer
+from roselink.routing.interface import (
     Alarm,
     Arrived,
     AttemptDone,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from pinetrack.benchlink import read_settings
-from pinetrack.interface import Effect, Group, Outcome, Route, Send, Server, Settings, StreamStarted
+from roselink.routing.benchlink import read_settings
+from roselink.routing.interface import Effect, Group, Outcome, Route, Send, Server, Settings, StreamStarted
 from tests.helpers import Stage, route, settings
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from pinetrack.interface import Outcome
-from quillroad import upstream
-from quillroad.config import RESERVED, Address, Descriptors
-from quillroad.upstream import Answer, Attempt, Host, HostConnection, Upstream
+from roselink.gateway import upstream
+from roselink.gateway.config import RESERVED, Address, Descriptors
+from roselink.gateway.upstream import Answer, Attempt, Host, HostConnection, Upstream
+from roselink.routing.interface import Outcome
 from tests.net import (
     Behaviour,
     FakeHost,
