--- /dev/null
+++ b/roselink/model/configuration.py
@@ -0,0 +1,161 @@
+"""The operator's configuration as typed values. `roselink.control.checking` decides whether one is valid."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+
+class RouteKind(Enum):
+    """What a second run of the same request would do."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A part of a route's traffic that goes to a service."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One route: host and prefix pick it, the longest prefix wins. Times are milliseconds, 0: none."""
+
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int
+    max_attempts: int
+    public: bool
+    session_affinity: bool
+    resumable: bool
+    gap_aim_ms: float
+    split: tuple[Share, ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request of this route may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or (self.kind is RouteKind.STREAMING and self.resumable)
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """What the hosts of a model service have: requests at once, and memory in tokens."""
+
+    capacity: int
+    kv_capacity: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """One service: how its health is asked for, and the connections that each of its hosts takes."""
+
+    name: str
+    health_check: str
+    max_connections: int
+    engine: Engine | None
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """One tenant: its keys, rank (0 is highest) and quota. A `rate_per_s` of 0 sets no limit."""
+
+    name: str
+    api_keys: tuple[str, ...]
+    priority: int
+    unit: str
+    plain_tokens: int
+    rate_per_s: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a client may send, how long it may take, and how long it may rest."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One whole configuration. `generation` is the operator's number for it."""
+
+    generation: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits
+    tenants: tuple[Tenant, ...]
+
+    @staticmethod
+    def from_document(document: Mapping[str, Any]) -> Configuration:
+        """Read a document that has passed the check; unknown fields are passed over."""
+        limits = document.get("limits") or {}
+        defaults = Limits()
+        return Configuration(
+            generation=int(document["generation"]),
+            routes=tuple(_route(entry) for entry in document.get("routes") or ()),
+            services=tuple(_service(entry) for entry in document.get("services") or ()),
+            limits=Limits(
+                int(limits.get("max_header_bytes", defaults.max_header_bytes)),
+                int(limits.get("max_body_bytes", defaults.max_body_bytes)),
+                float(limits.get("header_timeout_ms", defaults.header_timeout_ms)),
+                float(limits.get("idle_timeout_ms", defaults.idle_timeout_ms)),
+            ),
+            tenants=tuple(_tenant(entry) for entry in document.get("tenants") or ()),
+        )
+
+
+def _route(entry: Mapping[str, Any]) -> Route:
+    split = entry.get("traffic_split") or [{"service": entry["service"], "weight": 1}]
+    return Route(
+        name=str(entry["name"]),
+        hostname=str(entry["hostname"]).lower(),
+        path_prefix=str(entry["path_prefix"]),
+        kind=RouteKind(entry["kind"]),
+        timeout_ms=float(entry.get("timeout_ms") or 0),
+        target_latency_ms=float(entry.get("target_latency_ms") or 0),
+        priority=int(entry.get("priority") or 0),
+        max_attempts=max(1, int(entry.get("max_attempts") or 1)),
+        public=bool(entry.get("public")),
+        session_affinity=bool(entry.get("session_affinity")),
+        resumable=bool(entry.get("resumable")),
+        gap_aim_ms=float(entry.get("gap_aim_ms") or 0),
+        split=tuple(Share(str(part["service"]), float(part["weight"])) for part in split),
+    )
+
+
+def _service(entry: Mapping[str, Any]) -> Service:
+    engine = entry.get("engine")
+    return Service(
+        name=str(entry["name"]),
+        health_check=str(entry.get("health_check") or "/healthz"),
+        max_connections=int(entry.get("max_connections") or 0),
+        engine=Engine(int(engine.get("capacity") or 0), int(engine.get("kv_capacity") or 0))
+        if engine
+        else None,
+    )
+
+
+def _tenant(entry: Mapping[str, Any]) -> Tenant:
+    return Tenant(
+        name=str(entry["name"]),
+        api_keys=tuple(str(key) for key in entry.get("api_keys") or ()),
+        priority=int(entry.get("priority") or 0),
+        unit=str(entry.get("unit") or "requests"),
+        plain_tokens=int(entry.get("plain_tokens") or 1),
+        rate_per_s=float(entry.get("rate_per_s") or 0),
+        burst=float(entry.get("burst") or 0),
+    )
--- /dev/null
+++ b/roselink/model/fleet.py
@@ -0,0 +1,67 @@
+"""What gateways are told beside the configuration: hosts, and which gateways are live."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from roselink.model.configuration import Configuration
+from roselink.protocol.records import record
+
+
+class HostState(IntEnum):
+    """What the platform's list says of a host."""
+
+    READY = 1
+    DRAINING = 2
+
+
+@record(1)
+@dataclass(frozen=True, slots=True)
+class Host:
+    """One host of the platform's list. `id` is new with each start; `address` is "ip:port"."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    generation: str
+    capacity: int
+    state: HostState
+    warmup_left_ms: float
+    models: tuple[str, ...]
+
+
+@record(2)
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One live gateway: its name, its address for peers ("ip:port"), and a number drawn at its start."""
+
+    name: str
+    address: str
+    incarnation: int
+
+
+@record(3)
+@dataclass(frozen=True, slots=True)
+class VersionVector:
+    """The versions of each part that a gateway holds; 0 where it holds none. Each only rises.
+
+    `configuration` is the place of a committed write in the chain's order; `hosts` and `roster` are
+    (view epoch << 32) + a counter of the member that made them, so that a later view's are always newer. The
+    roster's version is the fencing token of every role that is assigned over the roster.
+    """
+
+    configuration: int = 0
+    hosts: int = 0
+    roster: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All that a gateway has in force at one moment."""
+
+    vector: VersionVector
+    configuration: Configuration
+    hosts: tuple[Host, ...]
+    roster: tuple[Member, ...]
--- /dev/null
+++ b/roselink/protocol/pull.py
@@ -0,0 +1,42 @@
+"""Records between gateways and the core: pulls by version vector.
+
+`Pull` goes to any core member, which answers through the chain's tail. A reply is `confirmed` when, after the
+pull arrived, a majority of the core's voters said that the tail's view is still the newest: then all that was
+acknowledged before the pull was sent is in it, and the gateway may count the confirmation from the moment at
+which it sent the pull, on its own clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from roselink.model.fleet import Host, Member, VersionVector
+from roselink.protocol.records import record
+
+
+@record(16)
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """A gateway's question for what it misses; also the sign that it lives. `serving`: it may hold roles."""
+
+    member: Member
+    vector: VersionVector
+    serving: bool
+
+
+@record(17)
+@dataclass(frozen=True, slots=True)
+class PullReply:
+    """What the gateway misses: each part is None when its version is the newest, or none exists yet.
+
+    `configuration` is the operator's document as sent (JSON). `cores` are the peer addresses ("ip:port") of
+    the core's members, for the next pulls. With `confirmed` false nothing else counts, and the gateway asks
+    another member.
+    """
+
+    confirmed: bool
+    vector: VersionVector
+    configuration: bytes | None
+    hosts: tuple[Host, ...] | None
+    roster: tuple[Member, ...] | None
+    cores: tuple[str, ...]
