--- /dev/null
+++ b/roselink/__main__.py
@@ -0,0 +1,44 @@
+"""The command line: `python3 -m roselink COMMAND`.
+
+`router` and `controller` are the two long-running programs and take no options: what they need stands in the
+settings file that ROSELINK_BOOT names. They are dispatched before anything else is imported, since each import
+is time in which a restarted process doesn't serve. All other commands are in `roselink.cli`.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+
+EXIT_BAD_SETTINGS = 2
+
+
+def run_program(command: str) -> int:
+    """Run the gateway or the control plane until it ends; the exit status."""
+    from roselink.model.settings import DEFAULT_PATH, ENVIRONMENT_VARIABLE, SettingsError, load_settings
+
+    try:
+        settings = load_settings(os.environ.get(ENVIRONMENT_VARIABLE, DEFAULT_PATH))
+    except SettingsError as error:
+        for fault in error.faults:
+            sys.stderr.write(f"settings: {fault}\n")
+        return EXIT_BAD_SETTINGS
+    if command == "router":
+        from roselink.router.app import run
+    else:
+        from roselink.control.app import run
+    run(settings)
+    return 0
+
+
+def main(arguments: list[str]) -> int:
+    """Run one command; the exit status."""
+    if arguments and arguments[0] in ("router", "controller"):
+        return run_program(arguments[0])
+    from roselink.cli import run_command
+
+    return run_command(arguments)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
