--- a/roselink/model/configuration.py
+++ b/roselink/model/configuration.py
@@ -109,15 +109,20 @@
             routes=tuple(_route(entry) for entry in document.get("routes") or ()),
             services=tuple(_service(entry) for entry in document.get("services") or ()),
             limits=Limits(
-                int(limits.get("max_header_bytes", defaults.max_header_bytes)),
-                int(limits.get("max_body_bytes", defaults.max_body_bytes)),
-                float(limits.get("header_timeout_ms", defaults.header_timeout_ms)),
-                float(limits.get("idle_timeout_ms", defaults.idle_timeout_ms)),
+                int(_given(limits, "max_header_bytes", defaults.max_header_bytes)),
+                int(_given(limits, "max_body_bytes", defaults.max_body_bytes)),
+                float(_given(limits, "header_timeout_ms", defaults.header_timeout_ms)),
+                float(_given(limits, "idle_timeout_ms", defaults.idle_timeout_ms)),
             ),
             tenants=tuple(_tenant(entry) for entry in document.get("tenants") or ()),
         )
 
 
+def _given(entry: Mapping[str, Any], field: str, default: float) -> float:
+    value = entry.get(field)
+    return default if value is None else float(value)
+
+
 def _route(entry: Mapping[str, Any]) -> Route:
     split = entry.get("traffic_split") or [{"service": entry["service"], "weight": 1}]
     return Route(
