--- /dev/null
+++ b/roselink/control/app.py
@@ -0,0 +1,221 @@
+"""One core process: the chain, the pull service, the list reader and the operator's interface, assembled.
+
+Order of imports matters: Twisted's reactor must be installed on the event loop before anything imports it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import importlib
+import os
+import signal
+import sys
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Protocol
+
+from roselink.control.orders import Address, ControlNode
+from roselink.control.pull_service import PullService
+from roselink.model.settings import (
+    DEFAULT_PATH,
+    ENVIRONMENT_VARIABLE,
+    ProcessSettings,
+    SettingsError,
+    load_settings,
+)
+from roselink.protocol.peers import PeerPool, PeerServer
+
+if TYPE_CHECKING:
+    from roselink.control.api import AdminApi
+    from roselink.control.platform_client import PlatformClient
+
+STOP_SHARE = 0.25  # of `grace_s`: how long orders under way may take to end after SIGTERM
+MOST_STOP_S = 1.5
+STOP_STEP_S = 0.05
+LISTEN_TRIES = 50
+LISTEN_PAUSE_S = 0.1
+
+Reply = Callable[[Any], None]
+
+
+class CoreNode(ControlNode, Protocol):
+    """The chain's driver, with what only the assembly needs."""
+
+    async def start(self) -> None:
+        """Read the disk and join the core."""
+
+    async def stop(self) -> None:
+        """Leave in order; what is acknowledged is on disk."""
+
+    def handle(self, peer: Address, message: object, reply: Reply) -> bool:
+        """Take a record of the chain; False for any other."""
+
+    def seeds_changed(self, seeds: tuple[Address, ...]) -> None:
+        """Other members may be asked for the core's state."""
+
+
+def run(settings: ProcessSettings) -> None:
+    """Run a core process until SIGTERM. Returns when it has ended in order."""
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    reactor = install_reactor(loop)
+    from roselink.control.logs import start_logs  # noqa: PLC0415 - after the reactor
+
+    start_logs(settings.node_name)
+    process = CoreProcess(settings, loop, reactor, _make_node)
+    reactor.callWhenRunning(process.begin)
+    reactor.run(installSignalHandlers=False)
+    if process.failure is not None:
+        raise process.failure
+
+
+def install_reactor(loop: asyncio.AbstractEventLoop) -> Any:
+    """Put Twisted on the event loop and return its reactor. No TLS is spoken: its libraries stay unloaded."""
+    sys.modules.setdefault("OpenSSL", None)  # type: ignore[arg-type]
+    from twisted.internet import asyncioreactor  # noqa: PLC0415 - the first import of Twisted
+
+    asyncioreactor.install(loop)  # type: ignore[no-untyped-call]
+    from twisted.internet import reactor  # noqa: PLC0415 - the one just installed
+
+    return reactor
+
+
+def _make_node(settings: ProcessSettings, pool: PeerPool) -> CoreNode:
+    node = importlib.import_module("roselink.control.node")
+    made: CoreNode = node.ControlNode(settings, pool)
+    return made
+
+
+class CoreProcess:
+    """The parts of one process, and their start and end."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        loop: asyncio.AbstractEventLoop,
+        reactor: Any,
+        make_node: Callable[[ProcessSettings, PeerPool], CoreNode],
+    ) -> None:
+        import structlog  # noqa: PLC0415 - after the logs are set up
+
+        self._settings, self._loop, self._reactor, self._make_node = settings, loop, reactor, make_node
+        self._log = structlog.get_logger("roselink.core")
+        self._stopping = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.failure: BaseException | None = None
+        self._node: CoreNode | None = None
+        self._pulls: PullService | None = None
+        self._api: AdminApi | None = None
+        self._client: PlatformClient | None = None
+        self._listening: Any = None
+        self._pool = PeerPool(self._handle)
+        self._server = PeerServer(self._handle)
+
+    def begin(self) -> None:
+        """Start all parts; the signals are taken from here on."""
+        self._loop.add_signal_handler(signal.SIGTERM, self.stop)
+        self._loop.add_signal_handler(signal.SIGINT, self.stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._spawn(self._start())
+
+    def stop(self) -> None:
+        """End in order, soon."""
+        if not self._stopping:
+            self._stopping = True
+            self._spawn(self._stop())
+
+    def _spawn(self, work: Any) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        self.failure = task.exception()
+        self._log.error("core_failed", error=repr(self.failure))
+        self._reactor.stop()
+
+    async def _start(self) -> None:
+        from roselink.control.api import AdminApi  # noqa: PLC0415 - needs the reactor
+
+        settings = self._settings
+        self._node = node = self._make_node(settings, self._pool)
+        self._pulls = PullService(node, self._pool)
+        self._api = AdminApi(node, self._pulls, self._reactor)
+        await self._listen(settings.ip, settings.peer_port)
+        await node.start()
+        self._pulls.start()
+        if settings.platform is not None:
+            from roselink.control.platform_client import PlatformClient  # noqa: PLC0415 - needs the reactor
+
+            self._client = PlatformClient(self._reactor, settings.platform, self._pulls.hosts_listed)
+            node.on_view(self._role_changed)
+            self._role_changed()
+        admin = settings.bind.get("admin")
+        if admin is not None:
+            self._listening = self._reactor.listenTCP(
+                admin[1], self._api.site(), backlog=128, interface=admin[0]
+            )
+        gc.collect()
+        gc.freeze()
+        self._log.info("core_started", peer_port=settings.peer_port, admin=admin, epoch=node.epoch)
+
+    async def _listen(self, host: str, port: int) -> None:
+        """Take the port for peers; a former process may hold it for a moment."""
+        for left in reversed(range(LISTEN_TRIES)):
+            try:
+                await self._server.listen(host, port)
+                return
+            except OSError:
+                if not left:
+                    raise
+                await asyncio.sleep(LISTEN_PAUSE_S)
+
+    def _role_changed(self) -> None:
+        """The tail of the active view reads the platform's list."""
+        if self._client is not None and self._node is not None and not self._stopping:
+            self._client.hold(self._node.epoch if self._node.is_tail else None)
+
+    def _handle(self, peer: Address, message: Any, reply: Reply) -> None:
+        node, pulls = self._node, self._pulls
+        if node is None or pulls is None or node.handle(peer, message, reply):
+            return
+        if not pulls.handle(peer, message, reply):
+            self._log.warning("record_unknown", record=type(message).__name__, peer=peer)
+
+    def _reload(self) -> None:
+        path = os.environ.get(ENVIRONMENT_VARIABLE, DEFAULT_PATH)
+        try:
+            settings = load_settings(path)
+        except SettingsError as error:
+            self._log.error("settings_unusable", faults=error.faults)
+            return
+        if self._node is not None and settings.seeds != self._settings.seeds:
+            self._node.seeds_changed(settings.seed_peers())
+        self._settings = settings
+        self._log.info("settings_read", seeds=len(settings.seeds))
+
+    async def _stop(self) -> None:
+        self._log.info("core_stopping")
+        if self._listening is not None:
+            self._listening.stopListening()
+        if self._api is not None:
+            self._api.stop()
+        if self._client is not None:
+            self._client.close()
+        bound = min(MOST_STOP_S, self._settings.thresholds.grace_s * STOP_SHARE)
+        ends = self._loop.time() + bound
+        while self._api is not None and self._api.under_way and self._loop.time() < ends:
+            await asyncio.sleep(STOP_STEP_S)
+        if self._node is not None:
+            try:
+                async with asyncio.timeout(bound):
+                    await self._node.stop()
+            except TimeoutError:
+                self._log.warning("node_stop_overdue")
+        self._server.close()
+        self._pool.close()
+        self._log.info("core_stopped")
+        self._reactor.stop()
--- a/roselink/control/checking.py
+++ b/roselink/control/checking.py
@@ -1,7 +1,7 @@
 """The check of an operator's configuration document: shape by voluptuous, then what ties its parts together.
 
-Fields that are not known here are passed over. What is absent and has a default is not a fault; null counts as
-absent. Whatever passes can be read by `Configuration.from_document`.
+Fields that are not known here are passed over. What is absent and has a default is not a fault; null counts
+as absent. Whatever passes can be read by `Configuration.from_document`.
 """
 
 from __future__ import annotations
--- a/roselink/control/orders.py
+++ b/roselink/control/orders.py
@@ -18,7 +18,7 @@
 @record(32)
 @dataclass(frozen=True, slots=True)
 class ConfigurationOrder:
-    """A checked configuration to be put in place of version `base` (the generation that it builds on, 0: none).
+    """A checked configuration to be put in place of version `base` (a generation; 0: none).
 
     `digest` covers the base and the document's bytes: the same order sent again has the same one.
     """
