--- /dev/null
+++ b/tests/control/fakes.py
@@ -0,0 +1,40 @@
+"""A stand-in for the replicated chain: it holds what it is asked until the test says how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from roselink.control.orders import Address, Confirmation, ConfigurationOrder, SubmitOutcome
+
+
+class FakeNode:
+    """Keeps each order and each confirmed read with its callback."""
+
+    def __init__(self) -> None:
+        self.epoch = 3
+        self.is_tail = True
+        self.tail: Address | None = ("10.0.0.3", 7500)
+        self.cores: tuple[str, ...] = ("10.0.0.1:7500", "10.0.0.2:7500", "10.0.0.3:7500")
+        self.orders: asyncio.Queue[tuple[ConfigurationOrder, Callable[[SubmitOutcome], None]]] = (
+            asyncio.Queue()
+        )
+        self.reads: asyncio.Queue[Callable[[Confirmation | None], None]] = asyncio.Queue()
+        self.watchers: list[Callable[[], None]] = []
+
+    def core_addresses(self) -> tuple[str, ...]:
+        return self.cores
+
+    def submit(self, order: ConfigurationOrder, done: Callable[[SubmitOutcome], None]) -> None:
+        self.orders.put_nowait((order, done))
+
+    def confirm(self, done: Callable[[Confirmation | None], None]) -> None:
+        self.reads.put_nowait(done)
+
+    def on_view(self, callback: Callable[[], None]) -> None:
+        self.watchers.append(callback)
+
+    def change_view(self, epoch: int, is_tail: bool, tail: Address | None) -> None:
+        self.epoch, self.is_tail, self.tail = epoch, is_tail, tail
+        for callback in self.watchers:
+            callback()
--- /dev/null
+++ b/tests/control/reactor.py
@@ -0,0 +1,27 @@
+"""Twisted's reactor on an event loop of the tests' own, installed once; what needs it imports this first."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from roselink.control.app import install_reactor
+
+Result = TypeVar("Result")
+
+LOOP = asyncio.new_event_loop()
+REACTOR = install_reactor(LOOP)
+REACTOR.startRunning(installSignalHandlers=False)
+
+PATIENCE_S = 10.0
+
+
+def play(work: Coroutine[Any, Any, Result]) -> Result:
+    """Run a coroutine on the reactor's loop; fail if it hangs."""
+
+    async def bounded() -> Result:
+        async with asyncio.timeout(PATIENCE_S):
+            return await work
+
+    return LOOP.run_until_complete(bounded())
