--- /dev/null
+++ b/roselink/routing/pool.py
@@ -0,0 +1,71 @@
+"""The ready hosts of one service, as one gateway sees them: random draws, the ring, and rests."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from itertools import islice
+
+from roselink.routing.host_state import HostState
+from roselink.routing.ring import HashRing
+
+DRAWS = 8  # random tries for a host that will do, before a scan
+SCAN = 64  # hosts looked at in a row after that
+REFUSED_SMOOTH = 0.1
+
+Condition = Callable[[HostState], bool]
+
+
+class Pool:
+    """Hosts of one service. `refused_share`: of late outcomes, those that said the host was full."""
+
+    def __init__(self) -> None:
+        self.hosts: list[HostState] = []
+        self.refused_share = 0.0
+        self._by_id: dict[str, HostState] = {}
+        self._ring: HashRing | None = None
+        self._resting: list[HostState] = []
+
+    def replace(self, hosts: list[HostState]) -> None:
+        """Take a new list; the ring is built again only when other ids are in it."""
+        by_id = {host.spec.id: host for host in hosts}
+        if by_id.keys() != self._by_id.keys():
+            self._ring = None
+        self.hosts, self._by_id = hosts, by_id
+        self._resting = [host for host in self._resting if host.spec.id in by_id]
+
+    def count(self, refused: bool) -> None:
+        """Learn how crowded the service is."""
+        self.refused_share += (refused - self.refused_share) * REFUSED_SMOOTH
+
+    def ranked(self, key: str, most: int) -> Iterator[HostState]:
+        """The first hosts in a key's order, the same at every gateway that has the same list."""
+        if self._ring is None:
+            self._ring = HashRing(self._by_id)
+        return (self._by_id[name] for name in islice(self._ring.walk(key), most))
+
+    def draw(self, fits: Condition, randomness: random.Random) -> HostState | None:
+        """A host drawn at random among those that fit, with a bounded number of looks."""
+        count = len(self.hosts)
+        for _ in range(min(DRAWS, count * 2)):
+            host = self.hosts[int(randomness.random() * count)]
+            if fits(host):
+                return host
+        start = int(randomness.random() * count)
+        for step in range(min(SCAN, count)):
+            host = self.hosts[(start + step) % count]
+            if fits(host):
+                return host
+        return None
+
+    def rest(self, host: HostState, now: float) -> bool:
+        """Rest a host, unless no other of the service would be left."""
+        self._resting = [other for other in self._resting if other.rested_until > now]
+        if host in self._resting:
+            return False
+        if self._by_id.get(host.spec.id) is not host or len(self.hosts) - len(self._resting) <= 1:
+            host.failures = 0
+            return False
+        host.rest(now)
+        self._resting.append(host)
+        return True
