Tests of the fleet's decisions: tables by outcome and route, budget windows, the draw, ejection

Found by them and mended: a percentile of zero hedged at once, so hedges now wait 10 ms at least; a host heard of in the very moment of a send counted as heard of since. Retries due with a change of topology now come after it. Learning and topology stand in modules of their own.

--- a/roselink/routing/fleet.py
+++ b/roselink/routing/fleet.py
@@ -10,26 +10,23 @@
 from collections.abc import Callable
 from typing import Any
 
-from roselink.model.fleet import Host
-from roselink.model.fleet import HostState as ListedState
 from roselink.routing import decisions as d
 from roselink.routing.affinity import PrefixMemory
 from roselink.routing.backoff import NO_HOST_S, backoff_s, retry_after_s
 from roselink.routing.budget import RepeatBudget
 from roselink.routing.classifier import Verdict, classify
 from roselink.routing.host_choice import HostChooser
-from roselink.routing.host_state import HostState, fresh_state
+from roselink.routing.host_state import HostState
 from roselink.routing.interface import Outcome
+from roselink.routing.learning import Learner
 from roselink.routing.policy import Policies
-from roselink.routing.pool import Pool
 from roselink.routing.request_state import Attempt, Request, Stage
 from roselink.routing.timers import Due, Entry, Timers
+from roselink.routing.topology import Topology
 
 HELD_PART = 0.2  # part of its aim that a request may wait for a host
 HELD_S = 0.1  # the same where no aim is told
 LOW_PRIORITY = 2  # from this rank on a request is refused at once where every host is full
-BROKEN = frozenset({Outcome.CONNECT_FAILED, Outcome.RESET})
-UNTOLD = frozenset({Outcome.CANCELLED, Outcome.MOOT})  # outcomes that tell nothing of a host
 
 
 class FleetDecider:
@@ -41,11 +38,10 @@
     def __init__(self, zone: str, seed: int, retry_budget_ratio: float, retry_window_s: float) -> None:
         self._ratio, self._window_s = retry_budget_ratio, retry_window_s
         self._random = random.Random(seed)
-        self._memory = PrefixMemory()
+        self._memory, self._topology = PrefixMemory(), Topology()
+        self._learner = Learner(self._topology, self._memory)
         self._chooser = HostChooser(zone, self._random, self._memory)
         self._policies, self._timers = Policies(), Timers()
-        self._hosts: dict[str, HostState] = {}
-        self._pools: dict[str, Pool] = {}
         self._budgets: dict[str, RepeatBudget] = {}
         self._requests: dict[int, Request] = {}
         self._held: dict[int, Request] = {}
@@ -53,12 +49,12 @@
         self._now = 0.0
 
     def handle(self, now: float, event: d.Event) -> list[d.Action]:
-        """Take one event; `now` in seconds, never falling. What comes for a request that is over is ignored."""
+        """Take one event; `now` in seconds, never falling. What comes for a finished request is ignored."""
         self._now, self._actions = now, []
         _HANDLERS[type(event)](self, event)  # before due times: they must not use what it takes away
         while (entry := self._timers.pop_due(now)) is not None:
             self._come_due(entry)
-        timer = self._timers.rearm(_over)
+        timer = self._timers.rearm(_is_over)
         if timer is not None:
             self._actions.append(timer)
         return self._actions
@@ -66,24 +62,9 @@
     # --- events
 
     def _topology_changed(self, event: d.TopologyChanged) -> None:
-        ready: dict[str, list[HostState]] = {}
-        hosts: dict[str, HostState] = {}
-        for spec in event.hosts:
-            known = hosts[spec.id] = self._known(spec)
-            if spec.state is ListedState.READY:
-                ready.setdefault(spec.service, []).append(known)
-        self._hosts = hosts
-        for service in self._pools.keys() | ready.keys():
-            self._pool(service).replace(ready.get(service, []))
-        for number in list(self._held):
-            self._place(self._held[number])
-
-    def _known(self, spec: Host) -> HostState:
-        known = self._hosts.get(spec.id)
-        if known is None or known.spec.service != spec.service:
-            return fresh_state(spec)
-        known.spec = spec
-        return known
+        self._topology.replace(event)
+        for request in list(self._held.values()):
+            self._place(request)
 
     def _arrived(self, event: d.RequestArrived) -> None:
         facts = event.facts
@@ -92,8 +73,6 @@
         self._timers.push(facts.give_up_at, Due.GIVE_UP, request)
         if facts.affinity:
             self._memory.see(facts)
-        if self._now >= facts.give_up_at:
-            return self._finish(request)
         if not self._place(request):
             self._held[facts.number] = request
             hold_s = HELD_PART * facts.aim_s if facts.aim_s > 0 else HELD_S
@@ -116,7 +95,7 @@
         if attempt.started:
             return
         attempt.started = True
-        self._answered(request, attempt)
+        self._learner.answered(request, attempt, self._now)
         if request.closed:
             return
         if request.winner is None or request.winner.outcome is not None:
@@ -130,7 +109,7 @@
         request, attempt = found
         attempt.outcome = event.outcome
         request.out -= 1
-        self._learn(request, attempt, event)
+        self._learner.ended(request, attempt, event, self._now)
         if not request.closed:
             request.progressed = request.progressed or event.progressed
             self._decide(request, attempt, event)
@@ -150,7 +129,7 @@
     def _come_due(self, entry: Entry) -> None:
         _, _, due, request, number = entry
         if due is Due.OVERDUE:
-            return self._overdue(request, request.attempts[number])
+            return self._learner.overdue(request, request.attempts[number], self._now)
         if request.closed:
             return
         if due is Due.GIVE_UP:
@@ -162,20 +141,14 @@
         elif due is Due.HEDGE:
             self._hedge(request)
 
-    def _overdue(self, request: Request, attempt: Attempt) -> None:
-        """An attempt past its aim counts zero at once; a host not heard of since has failed."""
-        if attempt.outcome is not None or attempt.started:
-            return
-        attempt.late = True
-        attempt.host.credit(0.0)
-        if attempt.host.heard_at < attempt.sent_at:
-            self._host_failed(request, attempt.host)
-
     # --- decisions
 
     def _place(self, request: Request) -> bool:
         """Send a request for the first time, or refuse it at once; False when no host is ready."""
-        pool = self._pool(request.facts.service)
+        if self._now >= request.facts.give_up_at:
+            self._finish(request)
+            return True
+        pool = self._topology.pool(request.facts.service)
         host = self._chooser.pick(pool, request.facts, (), self._now)
         if host is None:
             return False
@@ -207,7 +180,9 @@
         self._timers.push(self._now + wait_s, Due.RETRY, request)
 
     def _ask_budget(self, request: Request) -> None:
-        if self._budget(request.facts.service).spend(self._now):
+        if self._now >= request.facts.give_up_at:
+            self._finish(request)
+        elif self._budget(request.facts.service).spend(self._now):
             self._send_again(request)
         else:
             request.stage = Stage.ASKING
@@ -216,7 +191,7 @@
     def _send_again(self, request: Request) -> None:
         if self._now >= request.facts.give_up_at:
             return self._finish(request)
-        pool = self._pool(request.facts.service)
+        pool = self._topology.pool(request.facts.service)
         host = self._chooser.pick(pool, request.facts, request.tried(), self._now)
         if host is None:  # there is no host but those it went to
             host = self._chooser.pick(pool, request.facts, (), self._now)
@@ -231,24 +206,22 @@
         if request.stage is not Stage.OUT or request.out != 1 or request.progressed:
             return
         waiting = next(attempt for attempt in request.attempts if attempt.outcome is None)
-        silent = waiting.host.heard_at < waiting.sent_at
+        silent = waiting.host.heard_at <= waiting.sent_at
         budget = self._budget(request.facts.service)
         if not request.may_attempt() or (request.route.policy.streaming and not silent):
             return
         if not budget.rich(self._now):
             return
-        pool = self._pool(request.facts.service)
+        pool = self._topology.pool(request.facts.service)
         host = self._chooser.pick(pool, request.facts, request.tried(), self._now)
         if host is not None and host.has_room() and budget.spend(self._now):
             self._send(request, host)
 
     def _send(self, request: Request, host: HostState) -> None:
-        pool = self._pool(request.facts.service)
+        pool = self._topology.pool(request.facts.service)
         reading = self._chooser.tokens_to_read(pool, request.facts, host, self._now)
-        attempt = Attempt(host, self._now, reading, trial=host.probation and not host.trial_out)
-        host.trial_out = host.trial_out or attempt.trial
-        host.in_flight += 1
-        host.reading += reading
+        attempt = Attempt(host, self._now, reading)
+        self._learner.sent(attempt)
         number = len(request.attempts)
         request.attempts.append(attempt)
         request.out += 1
@@ -263,7 +236,7 @@
 
     def _finish(self, request: Request, out_of_time: bool = False) -> None:
         """The one place that gives a final answer of our own."""
-        number, pool = request.facts.number, self._pool(request.facts.service)
+        number, pool = request.facts.number, self._topology.pool(request.facts.service)
         if not request.may_have_run():
             wait_s = NO_HOST_S if not pool.hosts else retry_after_s(pool.refused_share, self._random)
             self._actions.append(d.FinalAnswer(number, d.GiveUp.NOT_RUN, wait_s))
@@ -287,50 +260,6 @@
             if attempt.outcome is None and attempt is not kept:
                 self._actions.append(d.CancelAttempt(request.facts.number, number))
 
-    # --- learning
-
-    def _learn(self, request: Request, attempt: Attempt, event: d.AttemptEnded) -> None:
-        host, outcome = attempt.host, event.outcome
-        host.in_flight -= 1
-        host.reading -= attempt.reading
-        attempt.reading = 0
-        if attempt.trial and host.probation:
-            host.trial_out = False
-        if outcome in UNTOLD:
-            return
-        self._pool(request.facts.service).count(outcome is Outcome.FULL and not event.wrong_host)
-        if outcome is Outcome.SUCCESS:
-            host.served()
-            if attempt.started:
-                host.alive(self._now)
-            else:
-                self._answered(request, attempt)
-            return
-        if not attempt.late:
-            host.credit(0.0)
-        if outcome in BROKEN or event.wrong_host:
-            return self._host_failed(request, host, at_once=event.wrong_host)
-        if outcome is Outcome.FULL:
-            host.refused()
-        if outcome is not Outcome.TIMEOUT:
-            host.alive(self._now)
-
-    def _answered(self, request: Request, attempt: Attempt) -> None:
-        """The first event, or the whole answer where no event came before."""
-        host, elapsed_s = attempt.host, self._now - attempt.sent_at
-        host.reading -= attempt.reading
-        attempt.reading = 0
-        host.alive(self._now)
-        if not attempt.late:
-            host.credit(1.0 if request.route.in_time(elapsed_s) else 0.0)
-        request.route.learn(elapsed_s)
-        if request.facts.affinity and request.facts.prompt:
-            self._memory.read_by(host.spec.id, self._memory.shared(request.facts), self._now)
-
-    def _host_failed(self, request: Request, host: HostState, at_once: bool = False) -> None:
-        if host.failed() or at_once:
-            self._pool(request.facts.service).rest(host, self._now)
-
     # --- tables
 
     def _find(self, number: int, attempt: int) -> tuple[Request, Attempt] | None:
@@ -341,9 +270,6 @@
         found = request.attempts[attempt]
         return None if found.outcome is not None else (request, found)
 
-    def _pool(self, service: str) -> Pool:
-        return self._pools.setdefault(service, Pool())
-
     def _budget(self, service: str) -> RepeatBudget:
         known = self._budgets.get(service)
         if known is None:
@@ -351,7 +277,7 @@
         return known
 
 
-def _over(entry: Entry) -> bool:
+def _is_over(entry: Entry) -> bool:
     _, _, due, request, number = entry
     if due is Due.OVERDUE:
         return request.attempts[number].outcome is not None or request.attempts[number].started
--- a/roselink/routing/policy.py
+++ b/roselink/routing/policy.py
@@ -13,6 +13,7 @@
 TRACKED = 128  # latencies kept for a route
 KEPT_ROUTES = 1024
 HEDGE_AT = 0.95  # a request slower than this percentile of its route may be hedged
+HEDGE_LEAST_S = 0.01
 HEDGE_SAMPLES = 32  # latencies that a percentile needs
 # A hedged stream costs a whole prompt: only far past the percentile and the aim, at a host that is silent.
 HEDGE_STREAMS = True
@@ -65,7 +66,7 @@
         if not policy.repeatable or policy.max_attempts < 2 or (policy.streaming and not HEDGE_STREAMS):
             return None
         if self._fresh >= HEDGE_SAMPLES:
-            self._hedge_s = (self._latencies.percentile(HEDGE_AT) or 0) / MICROSECONDS
+            self._hedge_s = max(HEDGE_LEAST_S, (self._latencies.percentile(HEDGE_AT) or 0) / MICROSECONDS)
             self._fresh = 0
         if not policy.streaming:
             return self._hedge_s
--- a/roselink/routing/request_state.py
+++ b/roselink/routing/request_state.py
@@ -31,7 +31,7 @@
     host: HostState
     sent_at: float
     reading: int
-    trial: bool
+    trial: bool = False
     outcome: Outcome | None = None
     started: bool = False  # its first event came
     late: bool = False  # past the aim, and counted
--- a/roselink/routing/ring.py
+++ b/roselink/routing/ring.py
@@ -28,6 +28,9 @@
         self._points = array("Q", (point for point, _ in pairs))
         self._places = array("L", (place for _, place in pairs))
 
+    def __len__(self) -> int:
+        return len(self._points)
+
     def walk(self, key: str) -> Iterator[str]:
         """Every host once, in the key's order."""
         size, seen = len(self._points), set()
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet's decisions."""
--- /dev/null
+++ b/tests/routing/builders.py
@@ -0,0 +1,87 @@
+"""Hosts, requests and a decider driven by hand, for tables of cases."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TypeVar
+
+from roselink.model.fleet import Host, HostState
+from roselink.routing import decisions as d
+from roselink.routing.fleet import FleetDecider
+from roselink.routing.interface import Outcome
+
+FACTS = d.RequestFacts(
+    number=1,
+    route="r",
+    service="s",
+    repeatable=True,
+    streaming=False,
+    arrived_at=0.0,
+    give_up_at=4.0,
+    aim_s=0.6,
+    max_attempts=3,
+    priority=0,
+    affinity=False,
+    prompt=(),
+    tokens_in=0,
+    tokens_out=0,
+)
+Kind = TypeVar("Kind")
+
+
+def host(name: str, service: str = "s", zone: str = "z", capacity: int = 64, ready: bool = True) -> Host:
+    state = HostState.READY if ready else HostState.DRAINING
+    return Host(name, service, "10.0.0.1:8000", zone, "v1", capacity, state, 0.0, ())
+
+
+def hosts(count: int, service: str = "s") -> tuple[Host, ...]:
+    return tuple(host(f"h{number}", service) for number in range(count))
+
+
+def prompt(*parts: str, tokens: int = 1000) -> tuple[d.PromptPart, ...]:
+    return tuple(d.PromptPart(part, tokens) for part in parts)
+
+
+@dataclass
+class Bench:
+    """A decider with its clock; keeps the timers it asked for."""
+
+    decider: FleetDecider = field(default_factory=lambda: FleetDecider("z", 1, 0.2, 10.0))
+    now: float = 0.0
+    timers: list[tuple[float, int]] = field(default_factory=list)
+
+    def tell(self, event: d.Event) -> list[d.Action]:
+        actions = self.decider.handle(self.now, event)
+        self.timers += [(action.at, action.tag) for action in actions if isinstance(action, d.StartTimer)]
+        return [action for action in actions if not isinstance(action, d.StartTimer)]
+
+    def list_hosts(self, *listed: Host) -> list[d.Action]:
+        return self.tell(d.TopologyChanged(tuple(listed), ()))
+
+    def arrive(self, facts: d.RequestFacts = FACTS, /, **changes: object) -> list[d.Action]:
+        facts = replace(facts, **changes)  # type: ignore[arg-type]
+        shifted = replace(facts, arrived_at=self.now, give_up_at=self.now + facts.give_up_at)
+        return self.tell(d.RequestArrived(shifted))
+
+    def end(self, outcome: Outcome, attempt: int = 0, number: int = 1, **more: bool) -> list[d.Action]:
+        return self.tell(d.AttemptEnded(number, attempt, outcome, 0.01, **more))
+
+    def wait(self, until: float) -> list[d.Action]:
+        """Fire the timers that are due by a time, each at its own."""
+        actions: list[d.Action] = []
+        while (due := min(self.timers, default=None)) is not None and due[0] <= until:
+            self.timers.remove(due)
+            self.now = max(self.now, due[0])
+            actions += self.tell(d.TimerFired(due[1]))
+        self.now = max(self.now, until)
+        return actions
+
+    def earn(self, requests: int = 60, service: str = "s") -> None:
+        """First sends that succeed, so that the bucket holds tokens."""
+        for number in range(10_000, 10_000 + requests):
+            self.arrive(replace(FACTS, number=number, service=service, route="earning", aim_s=0.0))
+            self.end(Outcome.SUCCESS, number=number)
+
+
+def only(kind: type[Kind], actions: list[d.Action]) -> list[Kind]:
+    return [action for action in actions if isinstance(action, kind)]
--- /dev/null
+++ b/tests/routing/test_budget.py
@@ -0,0 +1,62 @@
+"""The local bucket: never above its share of the window, whatever the order of events."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from roselink.routing.budget import RepeatBudget
+
+WINDOW_S, RATIO = 10.0, 0.2
+STEPS = st.lists(st.tuples(st.sampled_from("ffffr"), st.floats(0, 3), st.integers(1, 40)), max_size=80)
+
+
+@settings(max_examples=300, deadline=None)
+@given(STEPS, st.floats(0, 1e7), st.sampled_from([0.05, 0.2, 0.5, 1.0]))
+def test_repeats_of_a_window_stay_within_the_ratio_of_its_first_sends(
+    steps: list[tuple[str, float, int]], start: float, ratio: float
+) -> None:
+    budget, now = RepeatBudget(ratio, WINDOW_S), start
+    firsts: list[float] = []
+    repeats: list[float] = []
+    for kind, gap, count in steps:
+        now += gap
+        for _ in range(count):
+            if kind == "f":
+                budget.first_send(now)
+                firsts.append(now)
+            elif budget.spend(now):
+                repeats.append(now)
+                in_window = sum(now - WINDOW_S < at <= now for at in firsts)
+                assert sum(now - WINDOW_S < at <= now for at in repeats) <= ratio * in_window
+
+
+@pytest.mark.parametrize(
+    ("firsts", "pause_s", "granted"),
+    [(0, 0.0, 0), (5, 0.0, 0), (6, 0.0, 1), (101, 0.0, 18), (101, 5.0, 18), (100, 10.0, 0), (1000, 60.0, 0)],
+)
+def test_tokens_expire_with_the_window(firsts: int, pause_s: float, granted: int) -> None:
+    budget = RepeatBudget(RATIO, WINDOW_S)
+    for _ in range(firsts):
+        budget.first_send(100.0)
+    assert sum(budget.spend(100.0 + pause_s) for _ in range(1000)) == granted
+
+
+def test_a_long_calm_stretch_saves_up_no_more_than_one_window() -> None:
+    budget = RepeatBudget(RATIO, WINDOW_S)
+    for step in range(10_000):  # 10 a second
+        budget.first_send(step * 0.1)
+    granted = sum(budget.spend(999.9) for _ in range(1000))
+    assert 15 <= granted <= RATIO * 10 * WINDOW_S
+
+
+def test_rich_needs_most_of_the_window_unspent() -> None:
+    budget = RepeatBudget(RATIO, WINDOW_S)
+    assert not budget.rich(0.0)
+    for _ in range(100):
+        budget.first_send(0.0)
+    assert budget.rich(0.0)
+    for _ in range(10):
+        budget.spend(0.0)
+    assert not budget.rich(0.0)
--- /dev/null
+++ b/tests/routing/test_fleet.py
@@ -0,0 +1,437 @@
+"""The decider as a whole: sequences of events and the actions they bring."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+
+from roselink.routing import decisions as d
+from roselink.routing.fleet import FleetDecider
+from roselink.routing.interface import Outcome
+from tests.routing.builders import FACTS, Bench, host, hosts, only
+
+O = Outcome  # noqa: E741
+AGAIN, NOT_RUN, MAY_HAVE_RUN, NOTHING = "again", "not_run", "may_have_run", "nothing"
+
+
+def bench(count: int = 3, tokens: bool = True) -> Bench:
+    made = Bench()
+    made.list_hosts(*hosts(count))
+    if tokens:
+        made.earn()
+    return made
+
+
+def settle(made: Bench, actions: list[d.Action], until: float = 1.0) -> list[d.Action]:
+    """These actions and those of the backoff that follows."""
+    return actions + made.wait(made.now + until) if not only(d.FinalAnswer, actions) else actions
+
+
+def verdict(actions: list[d.Action]) -> str:
+    if finals := only(d.FinalAnswer, actions):
+        return finals[0].reason.value
+    return AGAIN if only(d.SendAttempt, actions) else NOTHING
+
+
+@pytest.mark.parametrize(
+    ("outcome", "repeatable", "streaming", "expected"),
+    [
+        (O.SUCCESS, True, False, NOTHING),
+        (O.SUCCESS, False, False, NOTHING),
+        (O.ERROR, True, False, AGAIN),
+        (O.ERROR, False, False, MAY_HAVE_RUN),
+        (O.ERROR, True, True, AGAIN),
+        (O.ERROR, False, True, MAY_HAVE_RUN),
+        (O.TIMEOUT, True, False, AGAIN),
+        (O.TIMEOUT, False, False, MAY_HAVE_RUN),
+        (O.TIMEOUT, True, True, AGAIN),
+        (O.TIMEOUT, False, True, MAY_HAVE_RUN),
+        (O.RESET, True, False, AGAIN),
+        (O.RESET, False, False, MAY_HAVE_RUN),
+        (O.RESET, True, True, AGAIN),
+        (O.RESET, False, True, MAY_HAVE_RUN),
+        (O.FULL, True, False, AGAIN),
+        (O.FULL, False, False, AGAIN),
+        (O.FULL, False, True, AGAIN),
+        (O.CONNECT_FAILED, True, False, AGAIN),
+        (O.CONNECT_FAILED, False, False, AGAIN),
+        (O.CONNECT_FAILED, False, True, AGAIN),
+        (O.MOOT, False, False, AGAIN),
+    ],
+)
+def test_outcome_by_kind_of_route(outcome: O, repeatable: bool, streaming: bool, expected: str) -> None:
+    made = bench()
+    first = only(d.SendAttempt, made.arrive(repeatable=repeatable, streaming=streaming))[0]
+    actions = settle(made, made.end(outcome), until=0.1)
+    assert verdict(actions) == expected
+    for again in only(d.SendAttempt, actions):
+        assert (again.attempt, again.resume) == (1, False)
+        assert again.host != first.host
+
+
+@pytest.mark.parametrize(
+    ("outcome", "reason"),
+    [(O.FULL, NOT_RUN), (O.ERROR, MAY_HAVE_RUN), (O.TIMEOUT, MAY_HAVE_RUN), (O.RESET, MAY_HAVE_RUN)],
+)
+def test_a_route_of_one_attempt_gets_its_answer_at_once(outcome: O, reason: str) -> None:
+    made = bench()
+    made.arrive(max_attempts=1)
+    (final,) = only(d.FinalAnswer, made.end(outcome))
+    assert final.reason.value == reason
+    assert (0.03 < final.retry_after_s < 0.25) == (reason == NOT_RUN)
+
+
+def test_advice_grows_with_refusals() -> None:
+    made = bench(tokens=False)
+    waits = []
+    for number in range(60):
+        made.arrive(number=number, max_attempts=1)
+        waits += [f.retry_after_s for f in only(d.FinalAnswer, made.end(O.FULL, number=number))]
+    assert sum(waits[:5]) < sum(waits[-5:])
+    assert max(waits) <= 0.25
+
+
+@pytest.mark.parametrize("most", [1, 2, 3, 5])
+@pytest.mark.parametrize("outcome", [O.FULL, O.ERROR, O.RESET, O.TIMEOUT])
+def test_attempts_are_bounded(most: int, outcome: O) -> None:
+    made = bench(count=8)
+    actions = made.arrive(max_attempts=most)
+    for attempt in range(10):
+        if only(d.FinalAnswer, actions):
+            break
+        actions += settle(made, made.end(outcome, attempt))
+    assert len(only(d.SendAttempt, actions)) == most
+    assert len(only(d.FinalAnswer, actions)) == 1
+    assert len({sent.host for sent in only(d.SendAttempt, actions)}) == most
+
+
+def test_attempts_that_never_left_are_free_up_to_three() -> None:
+    made = bench(count=8)
+    actions = made.arrive(max_attempts=1)
+    for attempt in range(10):
+        if only(d.FinalAnswer, actions):
+            break
+        actions += settle(made, made.end(O.CONNECT_FAILED, attempt))
+    assert len(only(d.SendAttempt, actions)) == 4
+    assert only(d.FinalAnswer, actions)[0].reason is d.GiveUp.NOT_RUN
+
+
+def test_waits_grow_between_groups() -> None:
+    totals = [0.0] * 4
+    for seed in range(40):
+        made = Bench(FleetDecider("z", seed, 0.2, 10.0))
+        made.list_hosts(*hosts(8))
+        made.earn()
+        made.arrive(max_attempts=5, aim_s=0.64)
+        for attempt in range(4):
+            failed_at = made.now
+            made.end(O.ERROR, attempt)
+            while not only(d.SendAttempt, made.wait(min(at for at, _ in made.timers))):
+                pass
+            totals[attempt] += made.now - failed_at
+    for earlier, later in itertools.pairwise(totals):
+        assert later > earlier * 1.5
+
+
+def test_spent_time_aborts() -> None:
+    made = bench()
+    made.arrive(give_up_at=1.0)
+    made.now = 0.9999
+    assert verdict(made.end(O.ERROR)) == MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    ("answered", "reason"), [(False, d.GiveUp.OUT_OF_TIME), (True, d.GiveUp.OUT_OF_TIME)]
+)
+def test_a_silent_attempt_ends_with_the_time(answered: bool, reason: d.GiveUp) -> None:
+    made = bench()
+    made.arrive(repeatable=False, streaming=True, give_up_at=2.0)
+    if answered:
+        made.tell(d.FirstEvent(1, 0))
+    actions = made.wait(5.0)
+    assert only(d.FinalAnswer, actions) == [d.FinalAnswer(1, reason)]
+    assert only(d.CancelAttempt, actions) == [d.CancelAttempt(1, 0)]
+    assert made.end(O.CANCELLED) == []
+
+
+def test_first_sends_pass_ungated_and_an_empty_bucket_asks_the_owner() -> None:
+    made = bench(tokens=False)
+    assert len(only(d.SendAttempt, made.arrive())) == 1
+    actions = settle(made, made.end(O.ERROR), until=0.1)
+    assert actions == [d.AskSharedBudget(1, "s")]
+    (sent,) = only(d.SendAttempt, made.tell(d.BudgetDecided(1, True)))
+    assert sent.attempt == 1
+    assert made.tell(d.BudgetDecided(1, True)) == []  # answered once
+
+
+@pytest.mark.parametrize(("outcome", "reason"), [(O.FULL, NOT_RUN), (O.RESET, MAY_HAVE_RUN)])
+def test_a_denial_is_final(outcome: O, reason: str) -> None:
+    made = bench(tokens=False)
+    made.arrive()
+    settle(made, made.end(outcome), until=0.1)
+    assert verdict(made.tell(d.BudgetDecided(1, False))) == reason
+
+
+def test_a_grant_after_the_time_sends_nothing() -> None:
+    made = bench(tokens=False)
+    made.arrive(give_up_at=1.0)
+    settle(made, made.end(O.ERROR), until=0.1)
+    made.now = 1.0
+    actions = made.tell(d.BudgetDecided(1, True))
+    assert not only(d.SendAttempt, actions)
+    assert only(d.FinalAnswer, actions)[0].reason is d.GiveUp.OUT_OF_TIME
+
+
+def test_a_client_that_left_is_forgotten() -> None:
+    made = bench()
+    made.arrive()
+    assert made.tell(d.RequestClosed(1)) == [d.CancelAttempt(1, 0)]
+    assert made.tell(d.RequestClosed(1)) == []
+    assert made.end(O.CANCELLED) == []
+    assert made.wait(10.0) == []
+
+
+@pytest.mark.parametrize("outcome", [O.RESET, O.ERROR, O.TIMEOUT])
+@pytest.mark.parametrize(("repeatable", "expected"), [(True, AGAIN), (False, MAY_HAVE_RUN)])
+def test_a_cut_stream_goes_on_elsewhere_if_it_may(outcome: O, repeatable: bool, expected: str) -> None:
+    made = bench()
+    first = only(d.SendAttempt, made.arrive(repeatable=repeatable, streaming=True))[0]
+    made.tell(d.FirstEvent(1, 0))
+    actions = settle(made, made.end(outcome, progressed=True), until=0.1)
+    assert verdict(actions) == expected
+    for again in only(d.SendAttempt, actions):
+        assert again.resume
+        assert again.host != first.host
+
+
+def test_a_relayed_failure_is_the_answer() -> None:
+    made = bench()
+    made.arrive()
+    assert made.end(O.ERROR, relayed=True) == []
+    assert made.wait(10.0) == []
+
+
+def test_another_host_has_the_address() -> None:
+    made = bench()
+    first = only(d.SendAttempt, made.arrive(repeatable=False))[0]
+    actions = settle(made, made.end(O.FULL, wrong_host=True), until=0.1)
+    assert verdict(actions) == AGAIN
+    picks = {only(d.SendAttempt, made.arrive(number=n))[0].host for n in range(2, 40)}
+    assert first.host not in picks
+
+
+# --- hedges
+
+
+def slow_route(made: Bench, **changes: object) -> None:
+    """Teach the route a latency of 10 ms."""
+    for number in range(100, 200):
+        made.arrive(number=number, **changes)
+        made.now += 0.01
+        made.end(O.SUCCESS, number=number)
+
+
+def test_a_slow_repeatable_request_gets_a_copy_and_the_first_to_end_stops_the_other() -> None:
+    made = bench()
+    slow_route(made)
+    first = only(d.SendAttempt, made.arrive(number=1))[0]
+    (copy,) = only(d.SendAttempt, made.wait(made.now + 0.3))
+    assert (copy.attempt, copy.resume) == (1, False)
+    assert copy.host != first.host
+    assert made.end(O.SUCCESS, 1) == [d.CancelAttempt(1, 0)]
+    assert made.end(O.CANCELLED, 0) == []
+    assert made.wait(made.now + 10.0) == []
+
+
+def test_a_failed_copy_leaves_the_other_running() -> None:
+    made = bench()
+    slow_route(made)
+    made.arrive(number=1)
+    made.wait(made.now + 0.3)
+    assert made.end(O.RESET, 1) == []
+    assert made.end(O.SUCCESS, 0) == []
+
+
+@pytest.mark.parametrize(
+    "changes", [{"repeatable": False}, {"max_attempts": 1}], ids=["may not run twice", "one host"]
+)
+def test_no_copy(changes: dict[str, object]) -> None:
+    made = bench()
+    slow_route(made, **changes)
+    made.arrive(number=1, **changes)
+    assert made.wait(made.now + 3.0) == []
+
+
+def test_no_copy_without_a_rich_budget() -> None:
+    made = bench(tokens=False)
+    made.arrive(streaming=True)
+    assert made.wait(made.now + 3.0) == []
+
+
+def test_a_stream_is_copied_only_at_a_silent_host_and_the_first_event_wins() -> None:
+    for silent in (True, False):
+        made = bench()
+        first = only(d.SendAttempt, made.arrive(streaming=True))[0]
+        made.now = 0.3
+        heard = 0
+        for number in range(300, 330) if not silent else ():  # the host shows a sign of life
+            sent = only(d.SendAttempt, made.arrive(number=number))[0]
+            made.end(O.SUCCESS, number=number)
+            heard += sent.host == first.host
+        copies = only(d.SendAttempt, made.wait(0.7))
+        assert len(copies) == (1 if silent else 0)
+        assert silent or heard
+        if silent:
+            assert made.tell(d.FirstEvent(1, 1)) == [d.CancelAttempt(1, 0)]
+            assert made.tell(d.FirstEvent(1, 0)) == [d.CancelAttempt(1, 0)]  # too late: it lost
+            assert made.end(O.CANCELLED, 0) == []
+            assert made.end(O.SUCCESS, 1) == []
+
+
+def test_no_copy_after_the_first_event() -> None:
+    made = bench()
+    made.arrive(streaming=True)
+    made.tell(d.FirstEvent(1, 0))
+    assert made.wait(3.9) == []
+
+
+# --- hosts
+
+
+def test_with_no_host_a_request_is_held_shortly_then_told_to_come_back() -> None:
+    made = Bench()
+    assert made.arrive() == []
+    made.now = 0.05
+    (sent,) = only(d.SendAttempt, made.list_hosts(host("new")))
+    assert sent.host == "new"
+    made = Bench()
+    made.arrive()
+    assert made.wait(0.5) == [d.FinalAnswer(1, d.GiveUp.NOT_RUN, 0.3)]
+    assert made.now <= 0.5
+
+
+def test_draining_and_missing_hosts_take_nothing_new() -> None:
+    made = Bench()
+    made.list_hosts(host("a"), host("b"), host("c", ready=False), host("d", "other"))
+    picks = {only(d.SendAttempt, made.arrive(number=n))[0].host for n in range(200)}
+    assert picks == {"a", "b"}
+    made.list_hosts(host("a", ready=False), host("b"))
+    assert {only(d.SendAttempt, made.arrive(number=n))[0].host for n in range(300, 400)} == {"b"}
+
+
+def test_a_retry_due_with_the_event_that_takes_its_host_goes_elsewhere() -> None:
+    made = bench(2)
+    first = only(d.SendAttempt, made.arrive())[0]
+    made.end(O.ERROR)
+    made.now = 1.0  # the backoff is over
+    actions = made.list_hosts(host(first.host))
+    assert {sent.host for sent in only(d.SendAttempt, actions)} <= {first.host}
+
+
+def test_the_only_host_is_tried_again_when_it_did_not_run() -> None:
+    made = bench(1)
+    made.arrive()
+    assert verdict(settle(made, made.end(O.FULL), until=0.1)) == AGAIN
+
+
+def test_requests_of_low_rank_are_refused_at_once_where_every_host_is_full() -> None:
+    made = Bench()
+    made.list_hosts(host("a", capacity=2), host("b", capacity=2))
+    for number in range(4):
+        assert verdict(made.arrive(number=number, priority=2)) == AGAIN
+    assert verdict(made.arrive(number=5, priority=2)) == NOT_RUN
+    assert verdict(made.arrive(number=6, priority=1)) == AGAIN
+    made.end(O.SUCCESS, number=0)
+    assert verdict(made.arrive(number=7, priority=2)) == AGAIN
+
+
+# --- ejection
+
+
+def test_a_broken_host_rests_and_gets_one_trial_at_a_time() -> None:
+    made = bench(4)
+    for number in range(400):
+        sent = only(d.SendAttempt, made.arrive(number=number, max_attempts=1, repeatable=False))
+        made.end(O.CONNECT_FAILED if sent[0].host == "h0" else O.SUCCESS, number=number)
+    made.now = 1.0  # past the first rest
+    picked = [only(d.SendAttempt, made.arrive(number=n))[0].host for n in range(500, 700)]
+    assert picked.count("h0") == 1
+    trial = 500 + picked.index("h0")
+    made.end(O.SUCCESS, number=trial)
+    assert "h0" in [only(d.SendAttempt, made.arrive(number=n))[0].host for n in range(700, 900)]
+
+
+def test_rests_grow_and_stay_short() -> None:
+    made = bench(2)
+    rests: list[float] = []
+    failed_at = 0.0
+    for number in range(20_000):
+        made.now += 0.005
+        sent = only(d.SendAttempt, made.arrive(number=number, max_attempts=1, repeatable=False))
+        if sent[0].host == "h0":
+            rests.append(made.now - failed_at)
+            failed_at = made.now
+            made.end(O.RESET, number=number)
+        else:
+            made.end(O.SUCCESS, number=number)
+    long = [rest for rest in rests if rest >= 0.2]
+    assert long[0] < 1.0
+    assert long[-1] > 2.0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_ejection_never_empties_a_service(seed: int) -> None:
+    draw = random.Random(seed)
+    made = bench(3, tokens=False)
+    for number in range(500):
+        made.now += draw.random() * 0.1
+        sent = only(d.SendAttempt, made.arrive(number=number, max_attempts=1))
+        assert [attempt.attempt for attempt in sent if attempt.number == number] == [0]
+        made.end(draw.choice([O.RESET, O.CONNECT_FAILED, O.RESET, O.SUCCESS]), number=number)
+
+
+def test_a_dark_host_is_found_by_its_silence() -> None:
+    made = bench(3)
+    dark = 0
+    for number in range(300):
+        made.wait(made.now + 0.05)
+        sent = only(d.SendAttempt, made.arrive(number=number, repeatable=False, max_attempts=1))[0]
+        if sent.host == "h0":
+            dark += 1
+        else:
+            made.end(O.SUCCESS, number=number)
+    assert dark < 30
+
+
+# --- determinism
+
+
+def test_the_same_seed_and_events_bring_the_same_actions() -> None:
+    def play(seed: int) -> list[list[d.Action]]:
+        decider, draw, log = FleetDecider("z", seed, 0.2, 10.0), random.Random(7), []
+        log.append(decider.handle(0.0, d.TopologyChanged(hosts(5), ())))
+        for number in range(300):
+            now = number * 0.02
+            facts = d.RequestArrived(
+                d.RequestFacts(number, "r", "s", True, False, now, now + 2, 0.5, 3, 0, False, (), 0, 0)
+            )
+            log.append(decider.handle(now, facts))
+            ended = d.AttemptEnded(number, 0, draw.choice(list(Outcome)), 0.01)
+            log.append(decider.handle(now + 0.01, ended))
+        return log
+
+    assert play(3) == play(3)
+    assert play(3) != play(4)
+
+
+def test_state_is_bounded_by_what_is_under_way() -> None:
+    made = bench()
+    for number in range(20_000, 20_500):
+        made.arrive(number=number)
+        made.end(O.SUCCESS, number=number)
+    made.wait(made.now + 10.0)
+    assert made.decider._requests == {}
+    assert made.decider._timers._entries == []
+    assert FACTS.number not in made.decider._held
--- /dev/null
+++ b/tests/routing/test_host_choice.py
@@ -0,0 +1,251 @@
+"""The draw of two, its scores, and how affinity shapes it."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from roselink.routing import decisions as d
+from roselink.routing.affinity import PrefixMemory
+from roselink.routing.host_choice import HostChooser
+from roselink.routing.host_state import HostState, fresh_state
+from roselink.routing.pool import Pool
+from roselink.routing.ring import HashRing
+from tests.routing.builders import FACTS, host, prompt
+
+PLAIN = FACTS
+MODEL = replace(FACTS, affinity=True, prompt=prompt("group", "session", "own"), tokens_in=3000)
+
+
+def pool_of(*states: HostState) -> Pool:
+    pool = Pool()
+    pool.replace(list(states))
+    return pool
+
+
+def pool(count: int, zone: str = "z") -> Pool:
+    return pool_of(*(fresh_state(host(f"h{n}", zone=zone)) for n in range(count)))
+
+
+def chooser(seed: int = 1, zone: str = "z", memory: PrefixMemory | None = None) -> HostChooser:
+    return HostChooser(zone, random.Random(seed), memory or PrefixMemory())
+
+
+def picked(made: Pool, facts: d.RequestFacts, seed: int = 1, times: int = 2000) -> dict[str, int]:
+    choose, counts = chooser(seed), dict.fromkeys((h.spec.id for h in made.hosts), 0)
+    for _ in range(times):
+        found = choose.pick(made, facts, (), 0.0)
+        assert found is not None
+        counts[found.spec.id] += 1
+    return counts
+
+
+def test_an_unknown_host_scores_one_half() -> None:
+    assert chooser().score(fresh_state(host("a"))) == 0.5
+
+
+@pytest.mark.parametrize(
+    ("payoff", "in_flight", "zone", "expected"),
+    [(1.0, 0, "z", 1.0), (1.0, 1, "z", 0.5), (0.5, 4, "z", 0.1), (0.0, 0, "z", 0.0), (1.0, 0, "y", 0.95)],
+)
+def test_payoff_over_one_plus_in_flight(payoff: float, in_flight: int, zone: str, expected: float) -> None:
+    state = replace(fresh_state(host("a", zone=zone)), payoff=payoff, in_flight=in_flight)
+    assert chooser().score(state) == pytest.approx(expected)
+
+
+def test_one_in_twenty_goes_to_the_lower() -> None:
+    better, worse = fresh_state(host("a")), fresh_state(host("b"))
+    better.payoff, worse.payoff = 1.0, 0.2
+    counts = picked(pool_of(better, worse), PLAIN, times=20_000)
+    assert 0.04 < counts["b"] / 20_000 < 0.06
+
+
+def test_of_two_hosts_the_busier_loses() -> None:
+    idle, busy = fresh_state(host("a")), fresh_state(host("b"))
+    busy.in_flight = 3
+    counts = picked(pool_of(idle, busy), PLAIN)
+    assert counts["a"] > 0.9 * 2000
+
+
+def test_the_draw_reaches_every_host_evenly() -> None:
+    counts = picked(pool(10), PLAIN, times=20_000)
+    assert min(counts.values()) > 1600
+    assert max(counts.values()) < 2400
+
+
+def test_a_host_that_was_tried_is_not_picked_again() -> None:
+    made = pool(3)
+    for _ in range(200):
+        found = chooser().pick(made, PLAIN, set(made.hosts[:2]), 0.0)
+        assert found is made.hosts[2]
+    assert chooser().pick(made, PLAIN, set(made.hosts), 0.0) is None
+
+
+def test_a_full_host_is_picked_only_if_all_are() -> None:
+    made = pool(3)
+    for full in made.hosts[:2]:
+        full.limit = full.in_flight = 2
+    assert {h for h, n in picked(made, PLAIN).items() if n} == {"h2"}
+    made.hosts[2].limit = made.hosts[2].in_flight = 2
+    assert all(picked(made, PLAIN).values())
+
+
+# --- the ring
+
+
+def test_every_gateway_finds_the_same_hosts_for_a_key() -> None:
+    names = [f"i-{n:08x}" for n in range(50)]
+    shuffled = names[:]
+    random.Random(3).shuffle(shuffled)
+    one, other = HashRing(names), HashRing(shuffled)
+    for key in range(200):
+        assert list(one.walk(f"{key}")) == list(other.walk(f"{key}"))
+
+
+def test_places_on_the_ring_do_not_depend_on_the_process() -> None:
+    walk = list(HashRing(["a", "b", "c", "d"]).walk("5c1e07a2"))
+    assert walk == FIXED_WALK
+
+
+FIXED_WALK = ["b", "c", "d", "a"]
+
+
+@pytest.mark.parametrize("count", [2, 6, 9, 70, 1100])
+def test_only_the_lost_hosts_sessions_move(count: int) -> None:
+    names = [f"i-{n:08x}" for n in range(count)]
+    before, after = HashRing(names), HashRing(names[1:])
+    for key in range(500):
+        first, second = list(before.walk(f"{key}"))[:2]
+        (now, *_) = after.walk(f"{key}")
+        assert now == (first if first != names[0] else second)
+
+
+@pytest.mark.parametrize("count", [3, 6, 9, 30])
+def test_homes_are_spread_evenly(count: int) -> None:
+    ring = HashRing(f"i-{n:08x}" for n in range(count))
+    counts: dict[str, int] = {}
+    for key in range(count * 300):
+        home = next(iter(ring.walk(f"{key}")))
+        counts[home] = counts.get(home, 0) + 1
+    assert min(counts.values()) > 300 * 0.6
+    assert max(counts.values()) < 300 * 1.4
+
+
+def test_a_ring_of_very_many_hosts_is_walked_in_a_few_steps() -> None:
+    ring = HashRing(f"i-{n:08x}" for n in range(12_000))
+    assert len(ring) == 96_000
+    walk = ring.walk("key")
+    assert next(walk) != next(walk)
+
+
+# --- affinity
+
+
+def homes(made: Pool, key: str) -> list[str]:
+    return [state.spec.id for state in made.ranked(key, 4)]
+
+
+def test_gateways_agree_on_a_sessions_home() -> None:
+    homes_picked = set()
+    for seed in range(20):
+        counts = picked(pool(6), MODEL, seed, times=200)
+        best = max(counts, key=counts.__getitem__)
+        assert counts[best] > 0.85 * 200
+        homes_picked.add(best)
+        assert {h for h, n in counts.items() if n} <= set(homes(pool(6), "session")[:2])
+    assert len(homes_picked) == 1
+
+
+def test_the_other_of_the_pair_wins_when_the_home_is_more_loaded() -> None:
+    made = pool(6)
+    home, second = list(made.ranked("session", 2))
+    home.reading = 20_000
+    counts = picked(made, MODEL, times=400)
+    assert counts[second.spec.id] > 0.85 * 400
+    second.reading = 20_000
+    counts = picked(made, MODEL, times=400)
+    assert counts[home.spec.id] > 0.85 * 400
+
+
+def test_a_host_known_to_keep_the_prefix_is_worth_more_than_one_that_is_not() -> None:
+    made, memory = pool(6), PrefixMemory()
+    home, second = list(made.ranked("session", 2))
+    choose = chooser(memory=memory)
+    home.in_flight = 32  # loads of 4 requests
+    lost = sum(choose.pick(made, MODEL, (), 0.0) is second for _ in range(200))
+    home.in_flight = 4
+    memory.read_by(second.spec.id, MODEL.prompt[:2], 0.0)
+    kept = sum(choose.pick(made, MODEL, (), 1.0) is second for _ in range(200))
+    forgotten = sum(choose.pick(made, MODEL, (), 60.0) is second for _ in range(200))
+    assert lost > 170
+    assert kept > 170
+    assert forgotten < 30
+
+
+def test_saturated_hosts_of_the_pair_give_way_to_the_next_of_the_ring_then_to_any() -> None:
+    made = pool(8)
+    ranked = list(made.ranked("session", 8))
+    for state in ranked[:2]:
+        state.in_flight = 16
+    counts = picked(made, MODEL, times=400)
+    assert {h for h, n in counts.items() if n} == {ranked[2].spec.id, ranked[3].spec.id}
+    for state in ranked[2:4]:
+        state.in_flight = 16
+    counts = picked(made, MODEL, times=2000)
+    assert sum(n > 0 for n in counts.values()) >= 5
+
+
+def test_a_resting_host_leaves_its_sessions_to_the_next() -> None:
+    made = pool(6)
+    home, second, third, _ = made.ranked("session", 4)
+    assert made.rest(home, 0.0)
+    counts = picked(made, MODEL, times=400)
+    assert {h for h, n in counts.items() if n} == {second.spec.id, third.spec.id}
+
+
+@pytest.mark.parametrize(
+    ("parts", "comes_again", "key"),
+    [
+        (("group", "session", "own"), False, "session"),
+        (("group", "session"), True, "session"),
+        (("session",), True, "session"),
+        (("own",), False, "own"),
+    ],
+)
+def test_the_key_is_the_last_shared_part(parts: tuple[str, ...], comes_again: bool, key: str) -> None:
+    memory = PrefixMemory()
+    for number in range(100):
+        last = parts[-1] if comes_again else f"{parts[-1]}{number}"
+        memory.see(replace(MODEL, prompt=prompt(*parts[:-1], last)))
+    assert memory.shared(replace(MODEL, prompt=prompt(*parts)))[-1].id == key
+
+
+@pytest.mark.parametrize(
+    ("read", "home", "expected"),
+    [
+        ((), False, 2000),
+        ((), True, 200),
+        (("group",), False, 1000),
+        (("session",), False, 2000),  # a part without those before it is of no use
+        (("group", "session"), False, 0),
+    ],
+)
+def test_tokens_that_a_host_would_have_to_read(read: tuple[str, ...], home: bool, expected: float) -> None:
+    memory = PrefixMemory()
+    memory.read_by("h0", prompt(*read), 0.0)
+    assert memory.to_read("h0", MODEL.prompt[:2], home, 1.0) == pytest.approx(expected)
+
+
+def test_what_is_remembered_is_bounded() -> None:
+    memory = PrefixMemory()
+    for number in range(20_000):
+        facts = replace(MODEL, route=f"r{number}", prompt=prompt(f"s{number}", f"o{number}"))
+        memory.see(facts)
+        memory.read_by(f"h{number}", facts.prompt, 0.0)
+        memory.read_by(f"h{number}", prompt("hot"), 0.0)
+    assert len(memory._holders) <= 8192
+    assert len(memory._lasts) <= 2048
+    assert len(memory._routes) <= 1024
+    assert len(memory._holders["hot"]) <= 16
