A call keeps the policy of its arrival; found by the test of copied streams

Cause: the record of a route held its newest policy, so a change of configuration changed calls under way.

--- a/roselink/routing/fleet.py
+++ b/roselink/routing/fleet.py
@@ -19,7 +19,7 @@
 from roselink.routing.host_state import HostState
 from roselink.routing.interface import Outcome
 from roselink.routing.learning import Learner
-from roselink.routing.policy import Policies
+from roselink.routing.policy import EffectivePolicy, RouteTable
 from roselink.routing.request_state import Attempt, Request, Stage
 from roselink.routing.timers import Due, Entry, Timers
 from roselink.routing.topology import Topology
@@ -41,7 +41,7 @@
         self._memory, self._topology = PrefixMemory(), Topology()
         self._learner = Learner(self._topology, self._memory)
         self._chooser = HostChooser(zone, self._random, self._memory)
-        self._policies, self._timers = Policies(), Timers()
+        self._routes, self._timers = RouteTable(), Timers()
         self._budgets: dict[str, RepeatBudget] = {}
         self._requests: dict[int, Request] = {}
         self._held: dict[int, Request] = {}
@@ -68,7 +68,7 @@
 
     def _arrived(self, event: d.RequestArrived) -> None:
         facts = event.facts
-        request = Request(facts, self._policies.find(facts))
+        request = Request(facts, EffectivePolicy.of(facts), self._routes.find(facts.route))
         self._requests[facts.number] = request
         self._timers.push(facts.give_up_at, Due.GIVE_UP, request)
         if facts.affinity:
@@ -161,7 +161,7 @@
         return True
 
     def _decide(self, request: Request, attempt: Attempt, event: d.AttemptEnded) -> None:
-        verdict = classify(event.outcome, request.route.policy.repeatable, event.relayed)
+        verdict = classify(event.outcome, request.policy.repeatable, event.relayed)
         if verdict is Verdict.DONE:
             self._close(request)
         elif event.outcome is Outcome.CANCELLED and (request.out or request.stage is not Stage.OUT):
@@ -173,7 +173,7 @@
 
     def _back_off(self, request: Request) -> None:
         request.groups += 1
-        wait_s = backoff_s(request.groups, request.route.policy.aim_s, self._random)
+        wait_s = backoff_s(request.groups, request.policy.aim_s, self._random)
         if not request.may_attempt() or self._now + wait_s >= request.facts.give_up_at:
             return self._finish(request)
         request.stage = Stage.BACKING_OFF
@@ -208,7 +208,7 @@
         waiting = next(attempt for attempt in request.attempts if attempt.outcome is None)
         silent = waiting.host.heard_at <= waiting.sent_at
         budget = self._budget(request.facts.service)
-        if not request.may_attempt() or (request.route.policy.streaming and not silent):
+        if not request.may_attempt() or (request.policy.streaming and not silent):
             return
         if not budget.rich(self._now):
             return
@@ -227,10 +227,10 @@
         request.out += 1
         request.stage = Stage.OUT
         self._actions.append(d.SendAttempt(request.facts.number, number, host.spec.id, request.progressed))
-        aim_s = request.route.policy.aim_s
+        aim_s = request.policy.aim_s
         if aim_s > 0:
             self._timers.push(self._now + aim_s, Due.OVERDUE, request, number)
-        hedge_s = None if request.progressed else request.route.hedge_after_s()
+        hedge_s = None if request.progressed else request.route.hedge_after_s(request.policy)
         if hedge_s is not None:
             self._timers.push(self._now + hedge_s, Due.HEDGE, request, number)
 
--- a/roselink/routing/learning.py
+++ b/roselink/routing/learning.py
@@ -33,7 +33,7 @@
         _stop_reading(attempt)
         host.alive(now)
         if not attempt.late:
-            host.credit(1.0 if request.route.in_time(elapsed_s) else 0.0)
+            host.credit(1.0 if request.route.in_time(request.policy, elapsed_s) else 0.0)
         request.route.learn(elapsed_s)
         if request.facts.affinity and request.facts.prompt:
             self._memory.read_by(host.spec.id, self._memory.shared(request.facts), now)
--- a/roselink/routing/policy.py
+++ b/roselink/routing/policy.py
@@ -40,10 +40,9 @@
 
 
 class RouteRecord:
-    """One route's policy and its bounded latencies (to the first event, or to the whole answer)."""
+    """What one route's calls took (to the first event, or to the whole answer); bounded."""
 
-    def __init__(self, policy: EffectivePolicy) -> None:
-        self.policy = policy
+    def __init__(self) -> None:
         self._latencies = LatencyTracker(maxlen=TRACKED)
         self._hedge_s: float | None = None
         self._fresh = 0
@@ -53,16 +52,15 @@
         self._latencies.append(int(elapsed_s * MICROSECONDS))
         self._fresh += 1
 
-    def in_time(self, elapsed_s: float) -> bool:
+    def in_time(self, policy: EffectivePolicy, elapsed_s: float) -> bool:
         """Whether that is within the aim; with none told, within the route's own median."""
-        if self.policy.aim_s > 0:
-            return elapsed_s <= self.policy.aim_s
+        if policy.aim_s > 0:
+            return elapsed_s <= policy.aim_s
         median = self._latencies.percentile(0.5)
         return median is None or elapsed_s * MICROSECONDS <= median
 
-    def hedge_after_s(self) -> float | None:
+    def hedge_after_s(self, policy: EffectivePolicy) -> float | None:
         """How long to wait before a second copy; None: never. The percentile is taken anew now and then."""
-        policy = self.policy
         if not policy.repeatable or policy.max_attempts < 2 or (policy.streaming and not HEDGE_STREAMS):
             return None
         if self._fresh >= HEDGE_SAMPLES:
@@ -73,20 +71,17 @@
         return max(STREAM_PATIENCE * (self._hedge_s or 0.0), policy.aim_s) or None
 
 
-class Policies:
-    """The routes that were asked for lately; bounded."""
+class RouteTable:
+    """The routes that were asked for, the newest of them; bounded."""
 
     def __init__(self) -> None:
         self._routes: OrderedDict[PolicyKey, RouteRecord] = OrderedDict()
 
-    def find(self, facts: RequestFacts) -> RouteRecord:
-        """The record of a request's route, under the policy now in force."""
-        policy = EffectivePolicy.of(facts)
-        record = self._routes.get(policy.key)
+    def find(self, key: PolicyKey) -> RouteRecord:
+        """The record of a route."""
+        record = self._routes.get(key)
         if record is None:
-            record = self._routes[policy.key] = RouteRecord(policy)
+            record = self._routes[key] = RouteRecord()
             while len(self._routes) > KEPT_ROUTES:
                 self._routes.popitem(last=False)
-        elif record.policy != policy:
-            record.policy = policy
         return record
--- a/roselink/routing/request_state.py
+++ b/roselink/routing/request_state.py
@@ -9,7 +9,7 @@
 from roselink.routing.decisions import RequestFacts
 from roselink.routing.host_state import HostState
 from roselink.routing.interface import NEVER_RAN, Outcome
-from roselink.routing.policy import RouteRecord
+from roselink.routing.policy import EffectivePolicy, RouteRecord
 
 UNSENT = 3  # attempts that may end unsent beyond the bound on attempts
 
@@ -42,6 +42,7 @@
     """A client's request. `groups`: retry groups that failed; `progressed`: a part of the stream went on."""
 
     facts: RequestFacts
+    policy: EffectivePolicy  # as it was at the arrival
     route: RouteRecord
     stage: Stage = Stage.HELD
     attempts: list[Attempt] = field(default_factory=list)
@@ -59,7 +60,7 @@
         """Whether the bound on attempts leaves one more; a few that ended unsent are free."""
         unsent = sum(attempt.outcome in NEVER_SENT for attempt in self.attempts)
         gone_to = len(self.attempts) - unsent
-        return gone_to < self.route.policy.max_attempts and unsent <= UNSENT
+        return gone_to < self.policy.max_attempts and unsent <= UNSENT
 
     def may_have_run(self) -> bool:
         """Whether a host may have begun to work on it."""
--- a/tests/routing/test_fleet.py
+++ b/tests/routing/test_fleet.py
@@ -435,3 +435,11 @@
     assert made.decider._requests == {}
     assert made.decider._timers._entries == []
     assert FACTS.number not in made.decider._held
+
+
+def test_a_call_keeps_the_policy_of_its_arrival() -> None:
+    made = bench(count=8)
+    made.arrive(number=1, repeatable=True, max_attempts=3)
+    made.arrive(number=2, repeatable=False, max_attempts=1)  # a new configuration
+    assert verdict(settle(made, made.end(O.ERROR, number=1), until=0.1)) == AGAIN
+    assert verdict(made.end(O.ERROR, number=2)) == MAY_HAVE_RUN
