Gateway's control side, first version: pulls, roles, quotas, shared repeats, assembly

Cause: gateways of the fleet need the newest configuration, and budgets that hold over all of them. Machines without I/O, one driver each; the log's limit moves out of the old program's __main__ to be shared.

--- /dev/null
+++ b/roselink/distribution/pull.py
@@ -0,0 +1,205 @@
+"""The gateway's pulls: which core member to ask and when, what is in force, and how long keys may be used.
+
+No clock and no I/O: `now` is seconds of one monotonic clock. Parts of the snapshot only move forward. The
+lease on keys begins when a confirmed pull was SENT: a key's removal that was acknowledged before then is in
+the reply, and one acknowledged later leaves `revoke_ms` from a moment after it. A request was sent by its
+client before the gateway checks, so the check itself needs no more than a margin for clock rates.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from roselink.model.configuration import Configuration, Limits
+from roselink.model.fleet import Member, Snapshot, VersionVector
+from roselink.protocol.pull import Pull, PullReply
+
+Address = tuple[str, int]
+
+PULL_EVERY_S = 0.2
+JITTER = 0.2  # of PULL_EVERY_S, either way
+TIMEOUT_S = 0.3
+TIMEOUT_GROWTH = 1.5  # a time-out after a failure is longer by this, for a core that is slow, not dead
+TIMEOUT_MOST_S = 1.0
+BACKOFF_FIRST_S = 0.05  # after every known member failed once
+BACKOFF_GROWTH = 1.5
+BACKOFF_MOST_S = 0.25
+SOONEST_AGAIN_S = 0.05  # between pulls that others asked for
+KEY_MARGIN_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class SendPull:
+    """Effect: call a core member; `PullMachine.answered` wants the outcome under this number."""
+
+    call: int
+    address: Address
+    pull: Pull
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Effect: this snapshot is in force now."""
+
+    snapshot: Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """Effect: what is in force was the newest at a moment after `at`, when the pull was sent."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """Effect: a configuration came that can't be read; the old one stays."""
+
+    version: int
+    why: str
+
+
+Effect = SendPull | Apply | Confirmed | Unreadable
+
+
+class PullMachine:
+    """Pulls for ever from one core member that answers. One pull is under way at a time."""
+
+    def __init__(self, member: Member, seeds: Iterable[Address], chance: random.Random) -> None:
+        self.serving = False
+        self.snapshot: Snapshot | None = None
+        self.confirmed_at: float | None = None
+        self.due_at = 0.0
+        self._member, self._chance = member, chance
+        self._seeds: tuple[Address, ...] = ()
+        self._cores: tuple[Address, ...] = ()
+        self._hints: tuple[Address, ...] = ()
+        self._order: list[Address] = []
+        self._vector = VersionVector()
+        self._parts = Snapshot(self._vector, Configuration(0, (), (), Limits(), ()), (), ())
+        self._calls = 0
+        self._open: tuple[int, float] | None = None  # call number, sent at
+        self._failures = 0
+        self._timeout_s = TIMEOUT_S
+        self._backoff_s = BACKOFF_FIRST_S
+        self.use_seeds(seeds)
+
+    @property
+    def under_way(self) -> bool:
+        """Whether a call's outcome is awaited; `wake` does nothing until then."""
+        return self._open is not None
+
+    def use_seeds(self, seeds: Iterable[Address]) -> None:
+        """The settings' seeds, now."""
+        self._seeds = tuple(dict.fromkeys(seeds))
+        self._arrange()
+
+    def use_hints(self, cores: Iterable[Address]) -> None:
+        """Addresses of core members that other gateways know of."""
+        hints = tuple(dict.fromkeys(cores))
+        if set(hints) != set(self._hints):
+            self._hints = hints
+            self._arrange()
+
+    def wake(self, now: float) -> list[Effect]:
+        """The time `due_at` has come, perhaps."""
+        if self._open is not None or now < self.due_at or not self._order:
+            return []
+        self._calls += 1
+        self._open = self._calls, now
+        pull = Pull(self._member, self._vector, self.serving)
+        return [SendPull(self._calls, self._order[0], pull, self._timeout_s)]
+
+    def hurry(self, now: float) -> None:
+        """Something newer exists: pull soon."""
+        self.due_at = min(self.due_at, now + SOONEST_AGAIN_S)
+
+    def answered(self, call: int, reply: PullReply | None, now: float) -> list[Effect]:
+        """The outcome of a call: the reply, or None."""
+        if self._open is None or self._open[0] != call:
+            return []
+        sent_at = self._open[1]
+        self._open = None
+        if reply is None or not reply.confirmed:
+            self._failed(now)
+            return []
+        effects = self._take(reply, sent_at)
+        if not any(isinstance(effect, Confirmed) for effect in effects):
+            self._failed(now)
+            return effects
+        self._failures, self._timeout_s, self._backoff_s = 0, TIMEOUT_S, BACKOFF_FIRST_S
+        self._learn(reply.cores)
+        self.due_at = now + PULL_EVERY_S * (1 + JITTER * (2 * self._chance.random() - 1))
+        return effects
+
+    def may_use_keys(self, now: float, revoke_s: float, strict: bool) -> bool:
+        """Whether a request with a key may be sent to a host now."""
+        if self.snapshot is None:
+            return False
+        if not strict:
+            return True
+        return self.confirmed_at is not None and now < self.confirmed_at + revoke_s - KEY_MARGIN_S
+
+    def _failed(self, now: float) -> None:
+        """The next member at once; after each round of all, a growing wait."""
+        self._order.append(self._order.pop(0))
+        self._failures += 1
+        self._timeout_s = min(TIMEOUT_MOST_S, self._timeout_s * TIMEOUT_GROWTH)
+        if self._failures % len(self._order):
+            self.due_at = now
+            return
+        self.due_at = now + self._backoff_s * (1 + JITTER * (2 * self._chance.random() - 1))
+        self._backoff_s = min(BACKOFF_MOST_S, self._backoff_s * BACKOFF_GROWTH)
+
+    def _learn(self, cores: Iterable[str]) -> None:
+        """An empty list says nothing new."""
+        known = tuple(dict.fromkeys(address for text in cores if (address := _address(text)) is not None))
+        if known and set(known) != set(self._cores):
+            self._cores = known
+            self._arrange()
+
+    def _arrange(self) -> None:
+        """The member that answered last stays first; then the core's own list, hints, and seeds, shuffled."""
+        first = self._order[:1] if self._failures == 0 and self._calls else []
+        order: list[Address] = [address for address in first if address in self._cores]
+        for group in (self._cores, self._hints, self._seeds):
+            rest = [address for address in group if address not in order]
+            self._chance.shuffle(rest)
+            order += rest
+        self._order = order or self._order
+
+    def _take(self, reply: PullReply, sent_at: float) -> list[Effect]:
+        """Move each part forward. A reply that misses a configuration it should have confirms nothing."""
+        held, told = self._vector, reply.vector
+        changed = self._parts
+        effects: list[Effect] = []
+        if told.configuration > held.configuration and reply.configuration is not None:
+            try:
+                configuration = Configuration.from_document(json.loads(reply.configuration))
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                effects.append(Unreadable(told.configuration, repr(error)))
+            else:
+                held = replace(held, configuration=told.configuration)
+                changed = replace(changed, configuration=configuration)
+        if told.hosts > held.hosts and reply.hosts is not None:
+            held, changed = replace(held, hosts=told.hosts), replace(changed, hosts=reply.hosts)
+        if told.roster > held.roster and reply.roster is not None:
+            held, changed = replace(held, roster=told.roster), replace(changed, roster=reply.roster)
+        if held != self._vector:
+            self._vector, self._parts = held, replace(changed, vector=held)
+            if held.configuration:
+                self.snapshot = self._parts
+                effects.append(Apply(self._parts))
+        if told.configuration == held.configuration:
+            self.confirmed_at = max(sent_at, self.confirmed_at or sent_at)
+            effects.append(Confirmed(self.confirmed_at))
+        return effects
+
+
+def _address(text: str) -> Address | None:
+    host, _, port = text.rpartition(":")
+    return (host, int(port)) if host and port.isascii() and port.isdigit() else None
--- /dev/null
+++ b/roselink/distribution/puller.py
@@ -0,0 +1,151 @@
+"""Drives a `PullMachine`: its calls over a `PeerPool`, its timer, and the seeds in the settings file."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import time
+from collections.abc import Callable
+from functools import partial
+
+from roselink.distribution.pull import Apply, Confirmed, Effect, PullMachine, SendPull, Unreadable
+from roselink.model.fleet import Member, Snapshot
+from roselink.model.settings import ProcessSettings, SettingsError, load_settings
+from roselink.protocol.peers import PeerPool
+from roselink.protocol.pull import PullReply
+
+log = logging.getLogger("roselink.distribution")
+
+SETTINGS_CHECK_S = 1.0  # the file may change without a signal
+Clock = Callable[[], float]
+Stamp = tuple[int, int, int]
+
+
+class Puller:
+    """What is in force at this gateway, kept new. Times are of `time.monotonic`: an event loop's cached clock
+    is behind after a freeze, and a lease judged by it would last too long."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        settings_path: str,
+        pool: PeerPool,
+        member: Member,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self._path, self._pool, self._clock = settings_path, pool, clock
+        self._revoke_s = settings.thresholds.revoke_ms / 1000
+        self._strict = settings.thresholds.revocation_strict
+        chance = random.Random(os.urandom(8))
+        self._machine = PullMachine(member, settings.seed_peers(), chance)
+        self._on_snapshot: list[Callable[[Snapshot], None]] = []
+        self._on_confirmed: list[Callable[[float], None]] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._settings_timer: asyncio.TimerHandle | None = None
+        self._stamp = self._read_stamp()
+        self._stopped = False
+
+    def start(self) -> None:
+        """Begin to pull; needs a running loop."""
+        self._watch_settings()
+        self._wake()
+
+    def stop(self) -> None:
+        """Pull no more."""
+        self._stopped = True
+        for timer in (self._timer, self._settings_timer):
+            if timer is not None:
+                timer.cancel()
+
+    def snapshot(self) -> Snapshot | None:
+        """What is in force; None until a configuration is known."""
+        return self._machine.snapshot
+
+    def may_use_keys(self) -> bool:
+        """Whether a request with a key may be sent to a host at this moment."""
+        return self._machine.may_use_keys(self._clock(), self._revoke_s, self._strict)
+
+    def subscribe(self, callback: Callable[[Snapshot], None]) -> None:
+        """Call with each new snapshot, and with the one in force, if any."""
+        self._on_snapshot.append(callback)
+        if self._machine.snapshot is not None:
+            callback(self._machine.snapshot)
+
+    def subscribe_confirmed(self, callback: Callable[[float], None]) -> None:
+        """Call with the time after which what is in force was the newest."""
+        self._on_confirmed.append(callback)
+
+    def set_serving(self, serving: bool) -> None:
+        """Whether this gateway may hold roles, from the next pull on, which comes soon."""
+        if serving != self._machine.serving:
+            self._machine.serving = serving
+            self.hurry()
+
+    def hurry(self) -> None:
+        """Something newer exists: pull soon."""
+        self._machine.hurry(self._clock())
+        self._schedule()
+
+    def reload(self) -> None:
+        """Read the seeds again; a file that can't be read changes nothing."""
+        self._stamp = self._read_stamp()
+        try:
+            settings = load_settings(self._path)
+        except SettingsError as error:
+            log.warning("the old settings stand: %s", error)
+            return
+        self._machine.use_seeds(settings.seed_peers())
+        self.hurry()
+
+    def _watch_settings(self) -> None:
+        if self._read_stamp() != self._stamp:
+            self.reload()
+        self._settings_timer = asyncio.get_running_loop().call_later(SETTINGS_CHECK_S, self._watch_settings)
+
+    def _read_stamp(self) -> Stamp | None:
+        try:
+            found = os.stat(self._path)
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._perform(self._machine.wake(self._clock()))
+
+    def _schedule(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = None
+        if self._stopped or self._machine.under_way:
+            return
+        wait_s = max(0.0, self._machine.due_at - self._clock())
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self._wake)
+
+    def _answered(self, call: int, answer: object) -> None:
+        if not self._stopped:
+            reply = answer if isinstance(answer, PullReply) else None
+            self._perform(self._machine.answered(call, reply, self._clock()))
+
+    def _perform(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case SendPull(call, address, pull, timeout_s):
+                    self._pool.call(address, pull, timeout_s, partial(self._answered, call))
+                case Apply(snapshot):
+                    self._tell(snapshot)
+                case Confirmed(at):
+                    for confirmed in self._on_confirmed:
+                        confirmed(at)
+                case Unreadable(version, why):
+                    log.error("configuration at %d can't be read: %s", version, why)
+        self._schedule()
+
+    def _tell(self, snapshot: Snapshot) -> None:
+        for callback in self._on_snapshot:
+            try:
+                callback(snapshot)
+            except Exception:  # one reader's fault must not keep the others, or the pulls, from going on
+                log.exception("a snapshot was not taken over")
--- a/roselink/gateway/__main__.py
+++ b/roselink/gateway/__main__.py
@@ -23,6 +23,7 @@
 )
 from roselink.gateway.discovery import Discovery
 from roselink.gateway.engine import Engine
+from roselink.gateway.logs import start_log
 from roselink.gateway.server import Server
 from roselink.gateway.upstream import Upstream
 from roselink.routing.balance import Balancer
@@ -33,30 +34,6 @@
 ACCEPT_S = 0.55  # after SIGTERM: the front sends connections for up to 0.4 s more
 KILL_S = 3.0  # SIGKILL may come so long after ACCEPT_S, or a longest deadline that is shorter
 FLUSH_S = 0.1  # for the last answers to leave
-LOG_LINES, LOG_S = 50, 1.0  # lines in a stretch of time: a storm of errors must not become a storm of lines
-
-
-class LimitedLog(logging.Filter):
-    """Passes so many lines a second and says how many it left out."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._began, self._count = 0.0, 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        if record.created - self._began >= LOG_S:
-            if self._count > LOG_LINES:
-                record.msg, record.args = f"{record.getMessage()} ({self._count - LOG_LINES} left out)", ()
-            self._began, self._count = record.created, 0
-        self._count += 1
-        return self._count <= LOG_LINES
-
-
-def start_log() -> None:
-    handler = logging.StreamHandler(sys.stderr)
-    handler.addFilter(LimitedLog())
-    handler.setFormatter(logging.Formatter("%(asctime)s.%(msecs)03d %(name)s: %(message)s", "%H:%M:%S"))
-    logging.basicConfig(level=logging.INFO, handlers=[handler])
 
 
 class Gateway:
--- /dev/null
+++ b/roselink/membership/quota_client.py
@@ -0,0 +1,272 @@
+"""The asker's side of quotas: requests wait for the owner's decision, together, for a bounded time.
+
+One ask a tenant is under way; what arrives meanwhile goes with the next. A gateway that had use lately is
+heard by the owner every `SIGN_OF_LIFE_S`. Without an owner in reach requests are decided here: at this
+gateway's own recent rate for `ALONE_S`, while the owner that knew it holds as much back (`ledger`), and
+otherwise within a fixed part of the rule's allowance, shared out by recent use.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from roselink.membership.repeats import RefreshRoster
+from roselink.membership.roles import Roles
+from roselink.membership.usage import LOCAL_PART, NEWCOMER_PART, Limit, QuotaRule, Usage
+from roselink.protocol.ledger import QuotaAnswer, QuotaAsk, Verdict
+
+KEY_PREFIX = "quota/"
+ASK_TIMEOUT_S = 0.15
+WAIT_MOST_S = 0.2  # a request waits no longer for a decision
+QUICK_FAILURE_S = 0.05  # a connection that broke; asked again at once, one time
+AGAIN_S = 0.03  # after an answer that decided nothing
+PROBE_S = 0.1  # between asks of an owner that doesn't answer
+SIGN_OF_LIFE_S = 0.4
+LEASE_S = 0.3
+AHEAD_S = 0.25  # of recent use is asked for ahead, where that is a request's worth
+ALONE_S = 3.0
+ALONE_BURST_S = 0.5
+RETRY_ALONE_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class SendQuotaAsk:
+    """Effect: put the ask to the owner; `QuotaClient.answered` wants the outcome under this number."""
+
+    call: int
+    address: str
+    ask: QuotaAsk
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaDecided:
+    """Effect: the decision on one request. `retry_after_s`: when a refused one may come again."""
+
+    number: int
+    allowed: bool
+    retry_after_s: float
+
+
+Effect = SendQuotaAsk | QuotaDecided | RefreshRoster
+
+
+@dataclass(slots=True)
+class _Waiting:
+    number: int
+    amount: float
+    until: float
+
+
+@dataclass(slots=True)
+class _Alone:
+    """A stretch of time without an owner in reach. `backed`: the owner holds our recent rate back."""
+
+    since: float
+    rate: float
+    level: float
+    at: float
+    backed: bool
+
+
+@dataclass(slots=True)
+class _Tenant:
+    limit: Limit
+    used: Usage
+    unbacked: Usage  # admitted here with nobody holding back for it
+    waiting: deque[_Waiting] = field(default_factory=deque)
+    open: tuple[int, float, list[_Waiting], str] | None = None  # call, sent at, what it asks for, owner
+    asked_at: float = float("-inf")
+    not_before: float = 0.0
+    failures: int = 0
+    told: int = 0  # the token under which the owner has our report
+    alone: _Alone | None = None
+    lease: float = 0.0
+    lease_until: float = 0.0
+    lender: str = ""
+    returned: float = 0.0
+    share: float = 0.0
+    typical: float = 0.0  # size of a request
+
+
+class QuotaClient:
+    """Decisions on requests of all tenants, at one gateway."""
+
+    def __init__(self, roles: Roles, rule: QuotaRule) -> None:
+        self._roles, self._rule = roles, rule
+        self._tenants: dict[str, _Tenant] = {}
+        self._calls: dict[int, str] = {}
+        self._last_call = 0
+
+    def configure(self, limits: Mapping[str, Limit], now: float) -> list[Effect]:
+        """Take over the limits of a configuration."""
+        effects: list[Effect] = []
+        for name in list(self._tenants):
+            limit = limits.get(name)
+            if limit is not None and limit.rate_per_s > 0:
+                self._tenants[name].limit = limit
+                continue
+            gone = self._tenants.pop(name)
+            asked = gone.open[2] if gone.open is not None else []
+            effects += [QuotaDecided(entry.number, True, 0.0) for entry in [*asked, *gone.waiting]]
+        for name, limit in limits.items():
+            if limit.rate_per_s > 0 and name not in self._tenants:
+                window_s = self._rule.window_s
+                self._tenants[name] = _Tenant(limit, Usage(window_s), Usage(window_s))
+        return effects
+
+    def admit(self, number: int, tenant: str, amount: float, now: float) -> list[Effect]:
+        """One request; `number` is the caller's, unique. `QuotaDecided` comes once, perhaps at once."""
+        state = self._tenants.get(tenant)
+        if state is None:
+            return [QuotaDecided(number, True, 0.0)]
+        state.typical += 0.1 * (amount - state.typical) if state.typical else amount
+        self._end_lease(state, now)
+        if not state.waiting and state.lease >= amount > 0:
+            state.lease -= amount
+            state.used.add(now, amount)
+            return [QuotaDecided(number, True, 0.0)]
+        entry = _Waiting(number, amount, now + WAIT_MOST_S)
+        if state.alone is not None:
+            return [self._decide_alone(state, entry, now), *self._pump(tenant, state, now)]
+        state.waiting.append(entry)
+        return self._pump(tenant, state, now)
+
+    def give_back(self, tenant: str, amount: float, now: float) -> None:
+        """A request that was admitted did not run and won't."""
+        state = self._tenants.get(tenant)
+        if state is not None:
+            state.used.add(now, -amount)
+            state.returned += amount
+
+    def answered(self, call: int, answer: QuotaAnswer | None, now: float) -> list[Effect]:
+        """The outcome of an ask: the owner's answer, or None."""
+        tenant = self._calls.pop(call, "")
+        state = self._tenants.get(tenant)
+        if state is None or state.open is None or state.open[0] != call:
+            return []
+        _, sent_at, asked, owner = state.open
+        state.open = None
+        if answer is not None and answer.verdict is Verdict.DECIDED:
+            return self._decided(state, asked, owner, sent_at, answer, now) + self._pump(tenant, state, now)
+        state.waiting.extendleft(reversed(asked))
+        effects: list[Effect] = []
+        if answer is None:
+            state.failures += 1
+            if state.failures > 1 or now - sent_at > QUICK_FAILURE_S:
+                state.not_before = now + PROBE_S
+                effects = self._go_alone(state, now)
+        elif answer.verdict is Verdict.REPORT_WANTED and state.told:
+            state.told = 0
+        else:
+            state.not_before = now + AGAIN_S
+            effects.append(RefreshRoster())
+        return effects + self._pump(tenant, state, now)
+
+    def wake(self, now: float) -> list[Effect]:
+        """Time has passed: what waited too long is decided here, and due asks go out."""
+        effects: list[Effect] = []
+        for tenant, state in self._tenants.items():
+            if state.waiting and state.waiting[0].until <= now:
+                effects += self._go_alone(state, now)
+            self._end_lease(state, now)
+            effects += self._pump(tenant, state, now)
+        return effects
+
+    def due_at(self, now: float) -> float:
+        """When `wake` is due next, if nothing else happens; infinity for never."""
+        return min((self._due(state, now) for state in self._tenants.values()), default=float("inf"))
+
+    def _due(self, state: _Tenant, now: float) -> float:
+        due = state.waiting[0].until if state.waiting else float("inf")
+        if state.open is None:
+            if state.waiting:
+                due = min(due, state.not_before)
+            elif state.returned or state.lease or abs(state.used.total(now)) > 0:
+                due = min(due, max(state.not_before, self._next_sign(state)))
+        return due
+
+    def _next_sign(self, state: _Tenant) -> float:
+        return state.asked_at + (PROBE_S if state.alone is not None else SIGN_OF_LIFE_S)
+
+    def _pump(self, tenant: str, state: _Tenant, now: float) -> list[Effect]:
+        """The next ask, if one is due and none is under way."""
+        if state.open is not None or now < state.not_before:
+            return []
+        if not state.waiting:
+            lately = state.returned or state.lease or state.used.total(now)
+            if not lately or now < self._next_sign(state):
+                return []
+        found = self._roles.find(KEY_PREFIX + tenant)
+        if found is None:
+            state.not_before = now + PROBE_S
+            return self._go_alone(state, now)
+        asked, state.waiting = list(state.waiting), deque()
+        report = None if state.told == found.token and state.alone is None else state.used.report(now)
+        ahead = self._ahead(state, now) if asked else 0.0
+        returned, state.returned = state.returned, 0.0
+        self._last_call += 1
+        self._calls[self._last_call] = tenant
+        state.open = self._last_call, now, asked, found.owner.name
+        state.asked_at = now
+        own, amounts = self._roles.own, tuple(entry.amount for entry in asked)
+        ask = QuotaAsk(tenant, found.token, own.name, own.incarnation, amounts, ahead, returned, report)
+        return [SendQuotaAsk(self._last_call, found.owner.address, ask, ASK_TIMEOUT_S)]
+
+    def _ahead(self, state: _Tenant, now: float) -> float:
+        wanted = AHEAD_S * state.used.total(now) / self._rule.window_s - state.lease
+        return wanted if wanted >= state.typical else 0.0
+
+    def _decided(
+        self,
+        state: _Tenant,
+        asked: list[_Waiting],
+        owner: str,
+        sent_at: float,
+        answer: QuotaAnswer,
+        now: float,
+    ) -> list[Effect]:
+        state.alone, state.failures, state.told, state.share = None, 0, answer.token, answer.share
+        effects: list[Effect] = []
+        for entry, admitted in zip(asked, answer.admitted, strict=False):
+            if admitted:
+                state.used.add(now, entry.amount)
+            effects.append(QuotaDecided(entry.number, admitted, 0.0 if admitted else answer.retry_after_s))
+        if answer.ahead > 0:
+            state.lease += answer.ahead
+            state.lease_until, state.lender = sent_at + LEASE_S, owner
+        return effects
+
+    def _end_lease(self, state: _Tenant, now: float) -> None:
+        """What is left of a lease goes back to the same lender; a new owner never counted it."""
+        if state.lease and now >= state.lease_until:
+            if state.told == self._roles.token:
+                state.returned += state.lease
+            state.lease = 0.0
+
+    def _go_alone(self, state: _Tenant, now: float) -> list[Effect]:
+        if state.alone is None:
+            rate = max(0.0, state.used.total(now)) / self._rule.window_s
+            backed = state.told == self._roles.token != 0
+            state.alone = _Alone(now, rate, rate * ALONE_BURST_S, now, backed)
+        waiting, state.waiting = state.waiting, deque()
+        return [self._decide_alone(state, entry, now) for entry in waiting]
+
+    def _decide_alone(self, state: _Tenant, entry: _Waiting, now: float) -> QuotaDecided:
+        alone = state.alone
+        assert alone is not None
+        alone.level = min(alone.rate * ALONE_BURST_S, alone.level + alone.rate * max(0.0, now - alone.at))
+        alone.at = max(alone.at, now)
+        if alone.backed and now - alone.since < ALONE_S and alone.level > 0 and self._roles.fresh(now):
+            alone.level -= entry.amount
+            state.used.add(now, entry.amount)
+            return QuotaDecided(entry.number, True, 0.0)
+        allowance = self._rule.allowance(state.limit)
+        most = max(state.share * LOCAL_PART, NEWCOMER_PART / self._roles.size) * allowance
+        if state.unbacked.total(now) + entry.amount <= most:
+            state.unbacked.add(now, entry.amount)
+            state.used.add(now, entry.amount)
+            return QuotaDecided(entry.number, True, 0.0)
+        return QuotaDecided(entry.number, False, RETRY_ALONE_S)
--- /dev/null
+++ b/roselink/membership/roles.py
@@ -0,0 +1,86 @@
+"""Singleton roles, sharded by key over the live gateways, under a fencing token.
+
+The owner of a key is the member with the highest hash of key and name. The token is the roster's version. An
+owner serves only asks under its own token, and only while its own view was confirmed lately: another may own
+the key as soon as the core has missed this gateway for longer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from roselink.model.fleet import Member
+from roselink.protocol.ledger import Verdict
+
+FRESH_S = 1.5  # an owner acts for so long after its newest confirmed pull was sent
+
+
+@dataclass(frozen=True, slots=True)
+class Ownership:
+    """Who owns a key, under which token."""
+
+    owner: Member
+    token: int
+
+
+def owner_of(key: str, roster: Iterable[Member]) -> Member | None:
+    """The owner by rendezvous hashing; None of an empty roster."""
+    return max(roster, key=lambda member: (_weight(key, member.name), member.name), default=None)
+
+
+def _weight(key: str, name: str) -> bytes:
+    return blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+
+
+class Roles:
+    """One gateway's view of all roles."""
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self.token = 0
+        self._roster: tuple[Member, ...] = ()
+        self._confirmed_at = float("-inf")
+        self._owners: dict[str, Member | None] = {}
+
+    @property
+    def size(self) -> int:
+        """How many gateways are live; 1 at least."""
+        return max(1, len(self._roster))
+
+    def update(self, token: int, roster: tuple[Member, ...]) -> bool:
+        """Take over a roster; an older one changes nothing. Returns whether it is new."""
+        if token <= self.token:
+            return False
+        self.token, self._roster = token, roster
+        self._owners.clear()
+        return True
+
+    def confirm(self, at: float) -> None:
+        """The view in force was the newest after `at`."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
+    def find(self, key: str) -> Ownership | None:
+        """The owner of a key as far as known here."""
+        if key not in self._owners:
+            self._owners[key] = owner_of(key, self._roster)
+        owner = self._owners[key]
+        return None if owner is None else Ownership(owner, self.token)
+
+    def owns(self, key: str) -> bool:
+        """Whether this process owns the key under its token (fresh or not)."""
+        found = self.find(key)
+        return found is not None and found.owner == self.own
+
+    def fresh(self, now: float) -> bool:
+        """Whether this gateway's view was confirmed lately."""
+        return now - self._confirmed_at < FRESH_S
+
+    def judge(self, key: str, token: int, now: float) -> Verdict:
+        """Whether this gateway may decide, as owner, what is asked under a token (`Verdict.DECIDED`)."""
+        if token < self.token:
+            return Verdict.STALE_TOKEN
+        if token > self.token or not self.fresh(now):
+            return Verdict.NOT_YET
+        return Verdict.DECIDED if self.owns(key) else Verdict.NOT_OWNER
--- /dev/null
+++ b/roselink/router/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway process of the fleet: assembly, signals, exit."""
--- /dev/null
+++ b/roselink/router/app.py
@@ -0,0 +1,107 @@
+"""Assembly of one gateway process: start, signals, drain, exit."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import importlib
+import logging
+import os
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import uvloop
+
+from roselink.distribution.puller import Puller
+from roselink.gateway.logs import start_log
+from roselink.membership.budget_service import BudgetService
+from roselink.model.fleet import Member
+from roselink.model.settings import DEFAULT_PATH, ENVIRONMENT_VARIABLE, ProcessSettings
+from roselink.protocol.peers import Address, PeerPool, PeerServer, Reply
+from roselink.router.parts import DataPlane
+
+log = logging.getLogger("roselink.router")
+
+EXIT_START_FAILED = 3
+MakeDataPlane = Callable[..., DataPlane]
+
+
+def run(settings: ProcessSettings) -> None:
+    """Run the gateway until SIGTERM or SIGINT and a drain; exits with a code when it can't start."""
+    start_log()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a gateway that can reload, it would kill
+    path = os.environ.get(ENVIRONMENT_VARIABLE, DEFAULT_PATH)
+    make_decider = importlib.import_module("roselink.routing.fleet").FleetDecider
+    make_data_plane = importlib.import_module("roselink.dataplane").DataPlane
+    try:
+        uvloop.run(serve(settings, path, make_decider, make_data_plane))
+    except OSError as error:
+        print(f"roselink.router: cannot start: {error}", file=sys.stderr)
+        sys.exit(EXIT_START_FAILED)
+
+
+async def serve(
+    settings: ProcessSettings,
+    settings_path: str,
+    make_decider: Callable[..., Any],
+    make_data_plane: MakeDataPlane,
+) -> None:
+    """Start all parts, wait for the signal to stop, and drain. Raises OSError when an address can't be
+    had."""
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    control = Control(settings, settings_path)
+    await control.start()
+    thresholds = settings.thresholds
+    seed = int.from_bytes(os.urandom(8), "big")
+    decider = make_decider(settings.zone, seed, thresholds.retry_budget_ratio, thresholds.retry_window_s)
+    data_plane = make_data_plane(settings, loop, decider, control.puller, control.budgets, control.budgets)
+    await data_plane.start()
+    control.puller.set_serving(True)
+    loop.add_signal_handler(signal.SIGHUP, control.puller.reload)
+    gc.collect()
+    gc.freeze()  # what is here at the start stays; collections need not walk it each time
+    log.info("%s started", settings.node_name)
+    await stopping.wait()
+    log.info("draining")
+    data_plane.begin_drain()
+    control.puller.set_serving(False)
+    await data_plane.drained()
+    data_plane.stop()
+    control.stop()
+    log.info("drained")
+
+
+class Control:
+    """All of a gateway but the data plane: peers, pulls and budgets."""
+
+    def __init__(self, settings: ProcessSettings, settings_path: str) -> None:
+        self._listen: Address = (settings.ip, settings.peer_port)
+        incarnation = int.from_bytes(os.urandom(7), "big")
+        self.member = Member(settings.node_name, "{}:{}".format(*self._listen), incarnation)
+        self.pool = PeerPool(self._handle)
+        self.puller = Puller(settings, settings_path, self.pool, self.member)
+        self.budgets = BudgetService(self.member, settings.thresholds, self.pool, self.puller.hurry)
+        self.puller.subscribe(self.budgets.apply)
+        self.puller.subscribe_confirmed(self.budgets.confirm)
+        self._server = PeerServer(self._handle)
+
+    async def start(self) -> None:
+        """Listen for peers, and begin to pull. Raises OSError."""
+        await self._server.listen(*self._listen)
+        self.puller.start()
+
+    def stop(self) -> None:
+        """End all connections and timers."""
+        self.puller.stop()
+        self.budgets.stop()
+        self._server.close()
+        self.pool.close()
+
+    def _handle(self, peer: Address, message: Any, reply: Reply) -> None:
+        if not self.budgets.handle(message, reply):
+            log.warning("%s sent a %s, which gateways don't take", peer[0], type(message).__name__)
