--- a/tests/control/test_platform.py
+++ b/tests/control/test_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import random
 from collections.abc import Callable
@@ -216,7 +217,7 @@
     for _ in range(12):
         driven.answer("status 429", after=0.0)
     times = [at for at, _ in driven.calls]
-    waits = [later - sooner for sooner, later in zip(times, times[1:], strict=False)]
+    waits = [later - sooner for sooner, later in itertools.pairwise(times)]
     bounds = [min(1.0, 0.1 * 2.0**failures) for failures in range(1, 13)]
     for wait, bound in zip(waits, bounds, strict=True):
         assert bound / 2 - 1e-6 <= wait <= bound + 1e-6
--- a/tests/control/test_pulls.py
+++ b/tests/control/test_pulls.py
@@ -42,7 +42,7 @@
 
 
 def host(name: str, **changes: Any) -> Host:
-    values = {
+    values: dict[str, Any] = {
         "id": name,
         "service": "model",
         "address": "10.9.0.1:8080",
