--- a/roselink/control/api.py
+++ b/roselink/control/api.py
@@ -20,14 +20,14 @@
 from twisted.web.server import Request, Site
 
 from roselink.control.checking import MOST_NUMBER, Fault, Refused, check
-from roselink.control.orders import (
-    Accepted,
+from roselink.control.contract import (
     ConfigurationOrder,
     Confirmation,
     Conflict,
     ControlNode,
     NotNewer,
     SubmitOutcome,
+    TakenOrder,
     Unsettled,
 )
 from roselink.control.pulls import GatewayLag
@@ -146,7 +146,7 @@
     def _answer_order(self, outcome: SubmitOutcome, request: ApiRequest, order: ConfigurationOrder) -> bytes:
         log.info("order", base=order.base, generation=order.generation, outcome=type(outcome).__name__)
         match outcome:
-            case Accepted(sequence):
+            case TakenOrder(sequence):
                 return _json(request, 200, {"generation": order.generation, "sequence": sequence})
             case Conflict(current):
                 return _json(request, 412, {"error": "conflict", "current": current})
--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
-from roselink.control.orders import Address, ControlNode
+from roselink.control.contract import Address, ControlNode
 from roselink.control.pull_service import PullService
 from roselink.model.settings import (
     DEFAULT_PATH,
--- a/roselink/control/orders.py
+++ b/roselink/control/contract.py
@@ -10,12 +10,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from roselink.protocol.records import record
-
 Address = tuple[str, int]
 
 
-@record(32)
 @dataclass(frozen=True, slots=True)
 class ConfigurationOrder:
     """A checked configuration to be put in place of version `base` (a generation; 0: none).
@@ -29,15 +26,13 @@
     digest: bytes
 
 
-@record(33)
 @dataclass(frozen=True, slots=True)
-class Accepted:
+class TakenOrder:
     """The order is committed, now or before, at this place in the chain's order."""
 
     sequence: int
 
 
-@record(34)
 @dataclass(frozen=True, slots=True)
 class Conflict:
     """Another version than the order's base is in place; `current` is its generation (0: none)."""
@@ -45,7 +40,6 @@
     current: int
 
 
-@record(35)
 @dataclass(frozen=True, slots=True)
 class NotNewer:
     """The order's generation is not above the current one."""
@@ -53,13 +47,12 @@
     current: int
 
 
-@record(36)
 @dataclass(frozen=True, slots=True)
 class Unsettled:
     """Nobody could say in time whether the order is committed."""
 
 
-SubmitOutcome = Accepted | Conflict | NotNewer | Unsettled
+SubmitOutcome = TakenOrder | Conflict | NotNewer | Unsettled
 
 
 @dataclass(frozen=True, slots=True)
--- a/roselink/control/pull_service.py
+++ b/roselink/control/pull_service.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from roselink.control.orders import Address, Confirmation, ControlNode
+from roselink.control.contract import Address, Confirmation, ControlNode
 from roselink.control.pulls import (
     Answer,
     Confirm,
--- a/roselink/control/pulls.py
+++ b/roselink/control/pulls.py
@@ -12,7 +12,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from roselink.control.orders import Address, Confirmation
+from roselink.control.contract import Address, Confirmation
 from roselink.model.fleet import Host, Member, VersionVector
 from roselink.protocol.pull import Pull, PullReply
 from roselink.protocol.records import record
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from roselink.control.orders import Address, ConfigurationOrder, Confirmation, SubmitOutcome
+from roselink.control.contract import Address, ConfigurationOrder, Confirmation, SubmitOutcome
 
 
 class FakeNode:
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -12,12 +12,12 @@
 import pytest
 from twisted.internet.task import Clock
 
-from roselink.control.orders import (
-    Accepted,
+from roselink.control.contract import (
     Confirmation,
     Conflict,
     NotNewer,
     SubmitOutcome,
+    TakenOrder,
     Unsettled,
 )
 from roselink.control.pulls import GatewayLag
@@ -120,7 +120,7 @@
 @pytest.mark.parametrize(
     ("outcome", "status", "said"),
     [
-        (Accepted(9), 200, {"generation": 7, "sequence": 9}),
+        (TakenOrder(9), 200, {"generation": 7, "sequence": 9}),
         (Conflict(6), 412, {"error": "conflict", "current": 6}),
         (
             NotNewer(8),
@@ -162,10 +162,10 @@
         answer = await caller.receive()
         assert answer.status == 503
         assert 0 < float(answer.headers["retry-after"]) < 1
-        done(Accepted(1))
+        done(TakenOrder(1))
         caller.send("POST", "/config/replace", ORDER, X_Base_Version="0")
         order, done = await serving.node.orders.get()
-        done(Accepted(1))
+        done(TakenOrder(1))
         assert (await caller.receive()).status == 200
         assert order.digest == order_digest(0, ORDER)
 
@@ -180,11 +180,11 @@
         leaving.writer.transport.abort()
         while serving.api.under_way:
             await asyncio.sleep(0)
-        done(Accepted(1))
+        done(TakenOrder(1))
         serving.clock.advance(SUBMIT_TIMEOUT_S)
         caller = await serving.caller()
         caller.send("POST", "/config/replace", ORDER, X_Base_Version="0")
-        (await serving.node.orders.get())[1](Accepted(1))
+        (await serving.node.orders.get())[1](TakenOrder(1))
         assert (await caller.receive()).status == 200
 
     with_interface(work)
@@ -197,7 +197,7 @@
             caller.send("POST", "/config/replace", ORDER, X_Base_Version=str(base))
         waiting = [await serving.node.orders.get() for _ in callers]
         for order, done in reversed(waiting):
-            done(Accepted(100 + order.base))
+            done(TakenOrder(100 + order.base))
         answers = [await caller.receive() for caller in callers]
         assert [answer.json()["sequence"] for answer in answers] == [100 + base for base in range(8)]
 
@@ -260,7 +260,7 @@
         caller.send("POST", "/config/replace", large, X_Base_Version="0")
         order, done = await serving.node.orders.get()
         assert order.document == large
-        done(Accepted(1))
+        done(TakenOrder(1))
         assert (await caller.receive()).status == 200
         caller.send("GET", "/config/get")
         (await serving.node.reads.get())(Confirmation(3, 1, large, 7))
@@ -279,7 +279,7 @@
         caller.writer.write(b"0\r\n\r\n")
         order, done = await serving.node.orders.get()
         assert order.document == ORDER
-        done(Accepted(1))
+        done(TakenOrder(1))
         assert (await caller.receive()).status == 200
 
     with_interface(work)
--- a/tests/control/test_pulls.py
+++ b/tests/control/test_pulls.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from roselink.control.orders import Confirmation
+from roselink.control.contract import Confirmation
 from roselink.control.pull_service import FORWARD_TIMEOUT_S, PullService
 from roselink.control.pulls import (
     EPOCH_SHIFT,
