--- /dev/null
+++ b/tests/control/core_alone.py
@@ -0,0 +1,73 @@
+"""A core process whose chain is one dictionary: run as a program by the tests of the assembly."""
+
+from __future__ import annotations
+
+import sys
+import types
+from collections.abc import Callable
+from typing import Any
+
+from roselink.control.app import run
+from roselink.control.contract import (
+    Address,
+    Confirmation,
+    ConfigurationOrder,
+    Conflict,
+    SubmitOutcome,
+    TakenOrder,
+)
+from roselink.model.settings import ProcessSettings, load_settings
+from roselink.protocol.peers import PeerPool
+
+
+class LoneNode:
+    """A chain of one member, in memory."""
+
+    def __init__(self, settings: ProcessSettings, pool: PeerPool) -> None:
+        self.epoch, self.is_tail = 1, True
+        self.tail: Address | None = (settings.ip, settings.peer_port)
+        self.taken: dict[bytes, int] = {}
+        self.newest = Confirmation(1, 0, None, 0)
+        self.seeds = settings.seed_peers()
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+    def handle(self, peer: Address, message: object, reply: Callable[[Any], None]) -> bool:
+        return False
+
+    def seeds_changed(self, seeds: tuple[Address, ...]) -> None:
+        self.seeds = seeds
+
+    def core_addresses(self) -> tuple[str, ...]:
+        return tuple(f"{host}:{port}" for host, port in self.seeds)
+
+    def submit(self, order: ConfigurationOrder, done: Callable[[SubmitOutcome], None]) -> None:
+        if order.digest in self.taken:
+            done(TakenOrder(self.taken[order.digest]))
+        elif order.base != self.newest.generation:
+            done(Conflict(self.newest.generation))
+        else:
+            sequence = self.taken[order.digest] = self.newest.sequence + 1
+            self.newest = Confirmation(1, sequence, order.document, order.generation)
+            done(TakenOrder(sequence))
+
+    def confirm(self, done: Callable[[Confirmation | None], None]) -> None:
+        done(self.newest)
+
+    def on_view(self, callback: Callable[[], None]) -> None:
+        pass
+
+
+def main() -> None:
+    stand_in = types.ModuleType("roselink.control.node")
+    stand_in.ControlNode = LoneNode  # type: ignore[attr-defined]
+    sys.modules["roselink.control.node"] = stand_in
+    run(load_settings(sys.argv[1]))
+
+
+if __name__ == "__main__":
+    main()
