--- a/roselink/control/api.py
+++ b/roselink/control/api.py
@@ -35,7 +35,7 @@
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 SUBMIT_TIMEOUT_S = 2.3
-CONFIRM_TIMEOUT_S = 1.0
+CONFIRM_TIMEOUT_S = 0.9  # a caller moves on after a second of silence
 STATUS_TIMEOUT_S = 0.5
 RETRY_AFTER_S = "0.2"
 IDLE_TIMEOUT_S = 60
--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -11,7 +11,7 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any, Protocol
 
 from roselink.control.contract import Address, ControlNode
@@ -101,6 +101,8 @@
         self._settings, self._loop, self._reactor, self._make_node = settings, loop, reactor, make_node
         self._log = structlog.get_logger("roselink.core")
         self._stopping = False
+        self._halted = False
+        self._starting: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.failure: BaseException | None = None
         self._node: CoreNode | None = None
@@ -116,7 +118,7 @@
         self._loop.add_signal_handler(signal.SIGTERM, self.stop)
         self._loop.add_signal_handler(signal.SIGINT, self.stop)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._spawn(self._start())
+        self._starting = self._spawn(self._start())
 
     def stop(self) -> None:
         """End in order, soon."""
@@ -124,10 +126,11 @@
             self._stopping = True
             self._spawn(self._stop())
 
-    def _spawn(self, work: Any) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._ended)
+        return task
 
     def _ended(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
@@ -135,7 +138,12 @@
             return
         self.failure = task.exception()
         self._log.error("core_failed", error=repr(self.failure))
-        self._reactor.stop()
+        self._halt()
+
+    def _halt(self) -> None:
+        if not self._halted:
+            self._halted = True
+            self._reactor.stop()
 
     async def _start(self) -> None:
         from roselink.control.api import AdminApi  # noqa: PLC0415 - needs the reactor
@@ -199,6 +207,8 @@
 
     async def _stop(self) -> None:
         self._log.info("core_stopping")
+        if self._starting is not None:
+            self._starting.cancel()
         if self._listening is not None:
             self._listening.stopListening()
         if self._api is not None:
@@ -218,4 +228,4 @@
         self._server.close()
         self._pool.close()
         self._log.info("core_stopped")
-        self._reactor.stop()
+        self._halt()
--- a/roselink/control/checking.py
+++ b/roselink/control/checking.py
@@ -96,6 +96,10 @@
     return value
 
 
+def _any_text(value: object) -> object:
+    return _text(value) if value != "" else value
+
+
 def _number(value: object) -> object:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise Invalid("must be a number")
@@ -218,7 +222,7 @@
 
 _SERVICE = _object(
     {Required("name"): _text}
-    | _may("health_check", _text)
+    | _may("health_check", _any_text)
     | _may("max_connections", _count)
     | _may("engine", _ENGINE)
 )
@@ -227,7 +231,7 @@
     {Required("name"): _text}
     | _may("api_keys", _list_of(_text))
     | _may("priority", _whole)
-    | _may("unit", _text)
+    | _may("unit", _any_text)
     | _may("plain_tokens", _count)
     | _may("rate_per_s", _amount)
     | _may("burst", _amount)
--- a/roselink/control/platform.py
+++ b/roselink/control/platform.py
@@ -22,11 +22,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ReaderTimes:
-    """Bounds of the schedule, in seconds: from pass to pass, and the waits after failed calls."""
+    """Bounds of the schedule, in seconds: from pass to pass, the waits after failed calls, and one call."""
 
     interval_s: float = 0.6
     backoff_s: float = 0.1
     most_backoff_s: float = 1.0
+    call_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/roselink/control/platform_client.py
+++ b/roselink/control/platform_client.py
@@ -32,7 +32,6 @@
 from roselink.model.fleet import Host
 from roselink.model.settings import Platform
 
-CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.6
 IDLE_TIMEOUT_S = 30  # an idle connection is closed after so long
 
@@ -63,6 +62,8 @@
     ) -> None:
         self._reactor = reactor
         self._clock, self._listed = clock, listed
+        times = times or ReaderTimes()
+        self._call_s = times.call_s
         self._reader = ListReader(platform.rate_per_s, random.Random(), times)
         self._url = f"http://{platform.address[0]}:{platform.address[1]}/instances"
         self._pool = HTTPConnectionPool(reactor, persistent=True)  # type: ignore[no-untyped-call]
@@ -123,7 +124,7 @@
             self._call.cancel()
         call = self._http.get(self._url, params={"page_token": page_token} if page_token else None)
         whole: Deferred[tuple[int, bytes]] = call.addCallback(self._body)
-        whole.addTimeout(CALL_TIMEOUT_S, self._reactor)
+        whole.addTimeout(self._call_s, self._reactor)
         self._call = whole
         whole.addBoth(self._finish, number, whole)
 
--- a/tests/control/core_alone.py
+++ b/tests/control/core_alone.py
@@ -10,8 +10,8 @@
 from roselink.control.app import run
 from roselink.control.contract import (
     Address,
-    Confirmation,
     ConfigurationOrder,
+    Confirmation,
     Conflict,
     SubmitOutcome,
     TakenOrder,
--- a/tests/control/test_checking.py
+++ b/tests/control/test_checking.py
@@ -145,6 +145,7 @@
     "bare service": document(services=[{"name": "model"}, {"name": "records"}]),
     "null engine": document(services=[service(engine=None), {"name": "records"}]),
     "empty engine": document(services=[service(engine={}), {"name": "records"}]),
+    "empty health check": document(services=[service(health_check=""), {"name": "records"}]),
     "rate 0": with_tenant(rate_per_s=0, burst=0),
     "no rate": with_tenant(rate_per_s=ABSENT, burst=ABSENT),
     "no keys": with_tenant(api_keys=[]),
--- a/tests/control/test_platform.py
+++ b/tests/control/test_platform.py
@@ -313,7 +313,7 @@
         self.asked: list[tuple[str, str]] = []
         self.connections = 0
         self.refusals = 0
-        self.silent = False
+        self.silent = 0
         self.server: asyncio.Server | None = None
 
     async def start(self) -> tuple[str, int]:
@@ -335,6 +335,7 @@
         token = parse_qs(parts.query).get("page_token", [""])[0]
         self.asked.append((parts.path, token))
         if self.silent:
+            self.silent -= 1
             return b""
         if self.refusals:
             self.refusals -= 1
@@ -349,7 +350,10 @@
 
 
 async def read_lists(
-    stand_in: StandIn, count: int, then: Callable[[Any], None] = lambda client: None
+    stand_in: StandIn,
+    count: int,
+    then: Callable[[Any], None] = lambda client: None,
+    call_s: float = 5.0,
 ) -> list[tuple[int, list[str]]]:
     """Let a client read until it has brought so many whole lists."""
     from roselink.control.platform_client import PlatformClient  # noqa: PLC0415 - after the reactor
@@ -360,7 +364,7 @@
         REACTOR,
         platform,
         lambda epoch, hosts: lists.put_nowait((epoch, hosts)),
-        times=ReaderTimes(interval_s=0.005, backoff_s=0.001, most_backoff_s=0.01),
+        times=ReaderTimes(interval_s=0.005, backoff_s=0.001, most_backoff_s=0.01, call_s=call_s),
     )
     client.hold(3)
     then(client)
@@ -387,6 +391,14 @@
     assert len(stand_in.asked) >= 4
 
 
+def test_driver_gives_up_a_call_without_an_answer() -> None:
+    stand_in = StandIn({"": body(entry())})
+    stand_in.silent = 2
+    assert play(read_lists(stand_in, 1, call_s=0.2)) == [(3, ["i-1"])]
+    assert len(stand_in.asked) >= 3
+    assert stand_in.connections >= 3
+
+
 def test_driver_takes_the_role_in_another_view() -> None:
     stand_in = StandIn({"": body(entry())})
     lists = play(read_lists(stand_in, 2, lambda client: client.hold(4)))
