--- a/roselink/control/logs.py
+++ b/roselink/control/logs.py
@@ -11,7 +11,7 @@
 from typing import Any, TextIO
 
 import structlog
-from twisted.logger import ILogObserver, LogLevel, globalLogBeginner
+from twisted.logger import ILogObserver, LogLevel, formatEvent, globalLogBeginner
 from zope.interface import provider  # type: ignore[import-untyped]
 
 BURST_LINES = 20  # of one event
@@ -74,7 +74,7 @@
     failure = event.get("log_failure")
     structlog.get_logger("twisted").warning(
         str(event.get("log_namespace", "twisted")),
-        message=str(event.get("log_format") or ""),
+        message=formatEvent(event),
         **({"exception": failure.getTraceback()} if failure is not None else {}),
     )
 
--- a/tests/control/core_alone.py
+++ b/tests/control/core_alone.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import sys
 import types
 from collections.abc import Callable
@@ -19,6 +21,8 @@
 from roselink.model.settings import ProcessSettings, load_settings
 from roselink.protocol.peers import PeerPool
 
+START = sys.argv[2] if len(sys.argv) > 2 else "succeeds"
+
 
 class LoneNode:
     """A chain of one member, in memory."""
@@ -31,7 +35,11 @@
         self.seeds = settings.seed_peers()
 
     async def start(self) -> None:
-        pass
+        if START == "hangs":
+            print(json.dumps({"event": "hanging"}), file=sys.stderr, flush=True)
+            await asyncio.Event().wait()
+        if START == "fails":
+            raise RuntimeError("no disk")
 
     async def stop(self) -> None:
         pass
--- a/tests/control/test_app.py
+++ b/tests/control/test_app.py
@@ -56,18 +56,19 @@
     def write(self) -> None:
         self.path.write_text(json.dumps(self.settings))
 
-    async def start(self) -> None:
+    async def start(self, how: str = "succeeds", until: str = "core_started") -> None:
         self.write()
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "tests.control.core_alone",
             str(self.path),
+            how,
             cwd=ROOT,
             env={"PATH": "/usr/bin", ENVIRONMENT_VARIABLE: str(self.path)},
             stderr=PIPE,
         )
-        await self.logged("core_started")
+        await self.logged(until)
 
     async def logged(self, event: str) -> dict[str, Any]:
         """The next line of that event; every line must be JSON."""
@@ -140,5 +141,24 @@
         platform.stop()
 
 
+def test_a_start_that_fails_ends_the_process_with_an_error(tmp_path: Path) -> None:
+    async def work() -> None:
+        core = Core(tmp_path, ("127.0.0.1", 1))
+        await core.start("fails", until="core_failed")
+        assert core.process is not None
+        assert await core.process.wait() == 1
+
+    play(work())
+
+
+def test_a_start_that_takes_long_can_be_ended(tmp_path: Path) -> None:
+    async def work() -> None:
+        core = Core(tmp_path, ("127.0.0.1", 1))
+        await core.start("hangs", until="hanging")
+        assert await core.end() == 0
+
+    play(work())
+
+
 def test_a_life_of_a_core_process(tmp_path: Path) -> None:
     play(a_life(tmp_path))
--- a/tests/control/test_checking.py
+++ b/tests/control/test_checking.py
@@ -4,6 +4,7 @@
 
 import copy
 import json
+import random
 from typing import Any
 
 import pytest
@@ -385,6 +386,59 @@
     assert len(refused.faults) == MOST_FAULTS
 
 
+ODD_VALUES: tuple[Any, ...] = (
+    None,
+    True,
+    0,
+    -1,
+    0.5,
+    2**63,
+    1e308,
+    "",
+    "x",
+    "0",
+    [],
+    [None],
+    {},
+    {"name": "x"},
+)
+
+
+def mutated(chance: random.Random) -> dict[str, Any]:
+    """A document with a few odd values or gaps at random places."""
+    whole: dict[str, Any] = document()
+    for _ in range(chance.randint(1, 3)):
+        place: Any = whole
+        while True:
+            keys = list(place) if isinstance(place, dict) else list(range(len(place)))
+            key = chance.choice(keys) if keys else None
+            if key is None:
+                break
+            if isinstance(place[key], dict | list) and place[key] and chance.random() < 0.8:
+                place = place[key]
+                continue
+            if chance.random() < 0.3:
+                del place[key]
+            else:
+                place[key] = copy.deepcopy(chance.choice(ODD_VALUES))
+            break
+    return whole
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_whatever_passes_can_be_read(seed: int) -> None:
+    chance = random.Random(seed)
+    passed = 0
+    for _ in range(200):
+        checked = check_document(mutated(chance))
+        if isinstance(checked, Checked):
+            passed += 1
+            read = Configuration.from_document(checked.document)
+            assert all(part.service for route in read.routes for part in route.split)
+            assert all(sum(part.weight for part in route.split) > 0 for route in read.routes)
+    assert 0 < passed < 200
+
+
 def test_values_are_not_changed() -> None:
     given = document()
     checked = check_document(given)
