--- a/roselink/control/api.py
+++ b/roselink/control/api.py
@@ -20,14 +20,14 @@
 from twisted.web.server import Request, Site
 
 from roselink.control.checking import MOST_NUMBER, Fault, Refused, check
-from roselink.control.orders import (
-    Accepted,
+from roselink.control.contract import (
     ConfigurationOrder,
     Confirmation,
     Conflict,
     ControlNode,
     NotNewer,
     SubmitOutcome,
+    TakenOrder,
     Unsettled,
 )
 from roselink.control.pulls import GatewayLag
@@ -35,7 +35,7 @@
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 SUBMIT_TIMEOUT_S = 2.3
-CONFIRM_TIMEOUT_S = 1.0
+CONFIRM_TIMEOUT_S = 0.9  # a caller moves on after a second of silence
 STATUS_TIMEOUT_S = 0.5
 RETRY_AFTER_S = "0.2"
 IDLE_TIMEOUT_S = 60
@@ -146,7 +146,7 @@
     def _answer_order(self, outcome: SubmitOutcome, request: ApiRequest, order: ConfigurationOrder) -> bytes:
         log.info("order", base=order.base, generation=order.generation, outcome=type(outcome).__name__)
         match outcome:
-            case Accepted(sequence):
+            case TakenOrder(sequence):
                 return _json(request, 200, {"generation": order.generation, "sequence": sequence})
             case Conflict(current):
                 return _json(request, 412, {"error": "conflict", "current": current})
