Connections of any HTTP server in a module of their own, under the gateway's server

Cause: the fleet's data plane needs the same parsing, limits, idle ends and draining; code is shared, not copied.

--- /dev/null
+++ b/roselink/gateway/connections.py
@@ -0,0 +1,511 @@
+"""Client connections of any HTTP server here: parsing, limits, one request at a time, idle ends, draining.
+
+Clients are not trusted: heads, bodies, half requests, idle and unread connections are all bounded, and what
+cannot be read costs the connection that sent it and nothing else. What a request means and who answers it is
+the part of the subclasses.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+import select
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any, NamedTuple, cast
+
+import httptools
+
+from roselink.gateway.config import LENT, Descriptors
+from roselink.gateway.look import SocketLook
+
+BACKLOG = 1024  # connections that may wait in the kernel to be accepted
+AHEAD = 2  # requests parsed ahead on one connection: clients send one at a time
+SLICE = 2048  # bytes parsed at a time, a few requests: one read can hold hundreds
+UNHEARD_S = 0.2  # after which a first request would have been read here, or a last answer by the client
+TAKE_S = 0.2  # for connections that wait to be accepted when the listener closes, however many still come
+HEARD_PART = 0.25  # of the descriptors: past it the longest idle client connection ends, for new ones to come
+END_TRIES = 8  # connections looked at to make room for one: each look costs a system call
+LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # after an error, so that a client still sending can read why
+
+
+class Sizes(NamedTuple):
+    """What a request may hold, in bytes. `message`: all of it, a chunked body's framing included."""
+
+    head: int
+    body: int
+    message: int
+
+
+class Times(NamedTuple):
+    """How long a client may take, in seconds. `head` and `body`: from a request's first byte until they are
+    whole; `unread`: to take an answer; `idle`: by the requests that its connection has brought, the last one
+    for all higher numbers."""
+
+    head: float
+    body: float
+    unread: float
+    idle: tuple[float, ...]
+
+
+def check_framing(version: str, headers: list[tuple[bytes, bytes]], body_limit: int) -> None:
+    """Raise `Bad` unless it is beyond doubt where the request ends. Guards against one hidden in the body of
+    another: a host that goes by the other of two headers would run it. The parser has checks of its own, but
+    what it is lenient about changes with its version."""
+    framing = [(n.lower().replace(b"_", b"-").strip(), n, v) for n, v in headers if n[:1] in b"cCtT"]
+    lengths = [(n, v) for plain, n, v in framing if plain == b"content-length"]
+    codings = [(n, v) for plain, n, v in framing if plain == b"transfer-encoding"]
+    if any(b"_" in name or name != name.strip() for name, _ in lengths + codings):
+        raise Bad(400, "a framing header spelt oddly")
+    if len(lengths) + len(codings) > 1:
+        raise Bad(400, "two framing headers")
+    if lengths and not (lengths[0][1].isdigit() and len(lengths[0][1]) < 20):
+        raise Bad(400, "bad Content-Length")
+    if codings and (codings[0][1].lower() != b"chunked" or version != "1.1"):
+        raise Bad(400, "unknown Transfer-Encoding")
+    if version not in ("1.0", "1.1"):
+        raise Bad(400, "unknown version of HTTP")
+    if lengths and int(lengths[0][1]) > body_limit:
+        raise Bad(413, "body too long")
+
+class Bad(Exception):
+    """What came is no request; `status` says why."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Pending:
+    """A request that is complete, or the status that it gets, waiting for its turn on the connection."""
+
+    def __init__(self, request: Any, status: int, keep: bool, why: str = "") -> None:
+        self.request, self.status, self.keep, self.why = request, status, keep, why
+
+
+class HttpConnection(asyncio.Protocol):
+    """One client connection: one request at a time, those sent ahead in order.
+
+    A subclass says what a whole request is (`_read`), begins its answer (`_serve`), writes it (`_write`) and
+    calls `_finish` behind its last byte.
+    """
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._look: SocketLook | None = None
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._unfed = b""  # read, not parsed yet
+        self._read_at = server.loop.time()  # when it was read, which a client's deadline counts from
+        self._empty_at = math.inf  # with reading paused: when the kernel was last seen to hold nothing
+        self._backlog: deque[Pending] = deque()
+        self._serving = False
+        self._keep = True
+        self._advancing = self._paused = self._unread = self._ended = self._partial = False
+        self._discarded = self._complete = 0
+        self._bad: Bad | None = None
+        self.last_change = server.loop.time()  # what the limits on time count from
+        self._begin()
+
+    def _begin(self) -> None:
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._size = self._received = 0
+        self._body: list[bytes] = []
+        self._head = True
+
+    # The transport's side.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
+        # With the marks at 0 `_unread` stands for "bytes of an answer left in this process".
+        self._transport.set_write_buffer_limits(high=0)
+        self._look = SocketLook(transport)
+        self._server.joined(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = self._look = None
+        self._ended = True
+        self._backlog.clear()
+        self._unfed, self._parser = b"", None  # the parser refers back: a cycle would wait for the collector
+        self._server.left(self)
+        self._departed()
+
+    def pause_writing(self) -> None:
+        self._unread = True
+        self.last_change = self._server.loop.time()
+
+    def resume_writing(self) -> None:
+        self._unread = False
+        self._advance()
+        if self.idle():
+            self._server.rests(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._ended:
+            self._discarded += len(data)
+            if self._discarded > LINGER_BYTES:
+                self.abort()
+            return
+        if not self._unfed:
+            # What lay unread for a while may have come at any time in it: its client counts from then on.
+            self._read_at, self._empty_at = min(self._server.loop.time(), self._empty_at), math.inf
+        self._unfed += data
+        self._advance()
+
+    def _feed(self) -> None:
+        """Parse what was read, no further ahead than a client needs; the rest waits, as the client must."""
+        while self._unfed and len(self._backlog) < AHEAD and not self._ended and self._parser is not None:
+            data, self._unfed = self._unfed[:SLICE], self._unfed[SLICE:]
+            complete = self._complete
+            try:
+                self._parser.feed_data(data)
+                if self._partial and complete == self._complete:
+                    # A header without end, or an endless extension of a chunk, reaches no callback.
+                    self._received += len(data)
+                    if self._head and self._received > self._server.sizes.head:
+                        raise Bad(431, "head too long")
+                    if self._received > self._server.sizes.message:
+                        raise Bad(413, "request too long")
+            except httptools.HttpParserUpgrade:
+                # The offer is not taken up: the request is served, and what follows is not HTTP any more.
+                self._ended, self._backlog[-1].keep = True, False
+            except (httptools.HttpParserError, Bad) as error:
+                bad = error if isinstance(error, Bad) else self._bad or Bad(400, f"not HTTP: {error}")
+                self._ended = True
+                self._backlog.append(Pending(None, bad.status, False, str(bad)))
+        if self._ended:
+            self._unfed = b""
+        wait = bool(self._unfed) and not self._ended
+        if self._transport is None or self._look is None or not (wait or self._paused):
+            return
+        if not self._paused:
+            self._empty_at = self._read_at
+            self._transport.pause_reading()
+        elif not self._look.unread():
+            self._empty_at = self._server.loop.time() if wait else math.inf
+        if not wait:
+            self._transport.resume_reading()
+        self._paused = wait
+
+    # The parser's side.
+
+    def on_message_begin(self) -> None:
+        self._begin()
+        self._partial = True
+        if not self._serving:
+            self.last_change = self._server.loop.time()
+        self._server.awake(self)
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._grow(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._head:
+            return  # a trailer: it must not stand in for a header that was checked
+        self._headers.append((name, value.strip()))
+        self._grow(len(name) + len(value) + 4)
+
+    def _grow(self, size: int) -> None:
+        self._size += size
+        if self._size > self._server.sizes.head:
+            self._reject(431, "head too long")
+
+    def _reject(self, status: int, why: str) -> None:
+        """End the parsing from inside a callback; the parser wraps what is raised here."""
+        self._bad = Bad(status, why)
+        raise self._bad
+
+    def on_headers_complete(self) -> None:
+        self._head, self._size = False, 0
+        assert self._parser is not None
+        try:
+            check_framing(self._parser.get_http_version(), self._headers, self._server.sizes.body)
+        except Bad as bad:
+            self._reject(bad.status, str(bad))
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > self._server.sizes.body:
+            self._reject(413, "body too long")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._partial, self._complete = False, self._complete + 1
+        assert self._parser is not None
+        keep = self._parser.should_keep_alive()
+        try:
+            pending = self._read(self._parser.get_method(), keep)
+        except Bad as bad:
+            pending = Pending(None, bad.status, keep, str(bad))
+        self._backlog.append(pending)
+
+    # One request after another.
+
+    def _advance(self) -> None:
+        """Begin the next request, once the answer before it is on its way and was read."""
+        if self._advancing:
+            return
+        self._advancing = True
+        try:
+            self._feed()
+            while self._backlog and not self._serving and not self._unread and self._transport is not None:
+                self._serve(self._backlog.popleft())
+                self._feed()
+        finally:
+            self._advancing = False
+
+    # What a subclass says.
+
+    def _read(self, method: bytes, keep: bool) -> Pending:
+        """The request that has just come whole; raises `Bad`. `keep`: its client lets the connection stay."""
+        raise NotImplementedError
+
+    def _serve(self, pending: Pending) -> None:
+        """Answer one, at once or later; `begin_answer` first."""
+        raise NotImplementedError
+
+    def _departed(self) -> None:
+        """The client has gone, also in the middle of an answer."""
+
+    # An answer.
+
+    def _may_keep(self) -> bool:
+        """Whether the connection stays open behind this answer. What was sent ahead has been taken and is
+        owed an answer, also where it lies in the kernel: the last answer says `close`."""
+        ahead = bool(self._backlog) or bool(self._unfed) or self._partial
+        looked = self._look is not None and self._look.unread()
+        return self._keep and (ahead or not self._server.draining or looked)
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def _finish(self, keep: bool) -> None:
+        """The last byte of an answer is on its way."""
+        self._serving = False
+        self.last_change = self._server.loop.time()
+        if self._transport is None:
+            return
+        if keep:
+            if self._backlog or self._unfed or self._partial:
+                self._server.loop.call_soon(self._advance)
+            elif not self._unread:
+                self._server.rests(self)
+        else:
+            self._close()
+
+    def _close(self) -> None:
+        """End the connection after its last answer. A close on unread bytes would reset it and could take
+        the answer along, so the sending side ends first and what still comes is thrown away for a while."""
+        self._ended = True
+        self._backlog.clear()
+        self._unfed = b""
+        if self._transport is not None:
+            if self._paused:
+                self._paused = False
+                self._transport.resume_reading()
+            self._server.leaves(self)
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+            self._server.loop.call_later(LINGER_S, self._lingered)
+
+    def _lingered(self) -> None:
+        """The end of the time that a last answer has. (`sweep` ends a connection whose client does not take
+        it.)"""
+        if self._transport is not None and not self.close_left():
+            self._server.loop.call_later(LINGER_S, self._lingered)
+
+    def eof_received(self) -> bool:
+        return False  # the client has closed: the transport closes too, and an open request departs
+
+    def abort(self) -> None:
+        self._server.closes(self)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def gone(self) -> bool:
+        """Whether the client has left. Not read any further, its connection would stay: it ends here."""
+        if self._look is not None and self._look.left():
+            self.abort()
+            return True
+        return self._transport is None
+
+    # What the server asks.
+
+    def idle(self) -> bool:
+        """Whether it is between two requests, as far as this process has read, with all answers gone out."""
+        busy = self._serving or self._backlog or self._unfed or self._partial or self._unread
+        return not (busy or self._ended)
+
+    def close_idle(self) -> bool:
+        """End it between two requests, by our choice; whether it ended. A request that lies unread in the
+        kernel has been taken and is owed an answer, and a close on it would be a reset."""
+        if self._look is None or self._look.unread():
+            return False
+        self.abort()
+        return True
+
+    def close_left(self) -> bool:
+        """End it after its last answer, once the kernel has that; whether it ended. What comes meanwhile is
+        read first: a close on it would be a reset, which takes along what the client's kernel has not got."""
+        if self._unread or self._look is None or self._look.unread():
+            return False
+        self.abort()
+        return True
+
+    def sweep(self, now: float, times: Times) -> None:
+        """Ends what takes too long. Guards the descriptors against clients that come and say nothing."""
+        waited = now - self.last_change
+        if self._unread and waited > times.unread:
+            self.abort()
+        elif self._partial and not self._serving and not self._ended:
+            if waited > (times.head if self._head else times.body):
+                self._ended = True
+                self._backlog.append(Pending(None, 408, False, "request not whole in time"))
+                self._advance()
+        elif self.idle() and waited > times.idle[min(self._complete, len(times.idle) - 1)]:
+            self.close_idle()
+
+
+def _end_one(
+    connections: dict[HttpConnection, None],
+    end: Callable[[HttpConnection], bool],
+    changed_before: float = math.inf,
+) -> bool:
+    """End one of the first few, the oldest that can be ended; whether there was one."""
+    for connection in list(itertools.islice(connections, END_TRIES)):
+        if connection.last_change >= changed_before:
+            return False
+        if end(connection):
+            return True
+    return False
+
+
+class HttpServer:
+    """All client connections of one listener."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        descriptors: Descriptors,
+        make_room: Callable[[], bool],
+        sizes: Sizes,
+    ) -> None:
+        self.loop, self.sizes = loop, sizes
+        self._descriptors, self._make_room = descriptors, make_room
+        self._heard_most = int(descriptors.limit * HEARD_PART)
+        self._most = descriptors.limit // 2  # the other half is the hosts': each request needs one there
+        self.connections: dict[HttpConnection, None] = {}
+        self._unheard: dict[HttpConnection, None] = {}  # no byte of a request yet, the oldest first
+        self._resting: dict[HttpConnection, None] = {}  # between requests, the longest idle first
+        self._leaving: dict[HttpConnection, None] = {}  # have their last answer, the longest first
+        self.draining = False
+        self._listener: asyncio.Server | None = None
+
+    # What a subclass says.
+
+    def times(self) -> Times:
+        raise NotImplementedError
+
+    def connection(self) -> HttpConnection:
+        """A new client connection."""
+        raise NotImplementedError
+
+    # The crowd of connections.
+
+    async def listen(self, host: str, port: int) -> int:
+        # Bound here: for a host's name the loop starts threads that resolve it, and imports what encodes it.
+        bound = socket.create_server((host, port), backlog=BACKLOG)
+        self._listener = await self.loop.create_server(self.connection, sock=bound, backlog=BACKLOG)
+        port_used: int = self._listener.sockets[0].getsockname()[1]
+        return port_used
+
+    def joined(self, connection: HttpConnection) -> None:
+        """Past the clients' part of the descriptors each new connection ends another. Guards against floods:
+        first go those that have their last answer and those that never said anything, then those between two
+        requests, never one with a request."""
+        self._descriptors.used += 1
+        self.connections[connection] = self._unheard[connection] = None
+        if len(self.connections) > self._most:
+            self._end_another(connection)
+        if self._descriptors.spare() <= -LENT and not self._make_room():
+            connection.abort()
+
+    def _end_another(self, newest: HttpConnection) -> None:
+        settled = self.loop.time() - UNHEARD_S
+        if (
+            _end_one(self._leaving, HttpConnection.close_left, settled)
+            or _end_one(self._unheard, HttpConnection.close_idle, settled)
+            or _end_one(self._resting, HttpConnection.close_idle)
+        ):
+            return
+        flooded = len(self.connections) > self._most + self._most // 4
+        if flooded and next(iter(self._unheard)) is not newest:
+            _end_one(self._unheard, HttpConnection.close_idle)
+
+    def awake(self, connection: HttpConnection) -> None:
+        """A request has begun: the connection is not ended to make room."""
+        self._unheard.pop(connection, None)
+        self._resting.pop(connection, None)
+
+    def rests(self, connection: HttpConnection) -> None:
+        """It is between two requests. Clients may hold so many connections here and no more: guards against
+        those that ask once and stay, which would take the places of all others for as long as they may."""
+        self._resting[connection] = None
+        heard = len(self.connections) - len(self._unheard) - len(self._leaving)
+        if heard > self._heard_most and len(self._resting) > 1:
+            _end_one(self._resting, HttpConnection.close_idle)
+
+    def leaves(self, connection: HttpConnection) -> None:
+        """It has its last answer, and needs no more than time to read it."""
+        self._leaving[connection] = None
+
+    def closes(self, connection: HttpConnection) -> None:
+        """Ended, though its descriptor is in use until the loop comes round to it."""
+        self.connections.pop(connection, None)
+        self._leaving.pop(connection, None)
+        self.awake(connection)
+
+    def left(self, connection: HttpConnection) -> None:
+        self._descriptors.used -= 1
+        self.closes(connection)
+
+    def crowded(self) -> bool:
+        """Whether there are no descriptors left to serve one more: then it is turned away, not started. Part
+        of the reserved ones serves to tell those clients."""
+        quiet = len(self._unheard) + len(self._resting) + len(self._leaving)
+        return len(self.connections) - quiet > self._most
+
+    def sweep(self) -> None:
+        now, times = self.loop.time(), self.times()
+        for connection in list(self.connections):
+            connection.sweep(now, times)
+
+    async def stop_taking(self) -> None:
+        """The front has stopped sending connections: no more are taken. Those that wait in the kernel have
+        been accepted by this machine, and are taken first: the close would reset them."""
+        if self._listener is None:
+            return
+        poll = select.poll()
+        poll.register(self._listener.sockets[0].fileno(), select.POLLIN)
+        end = self.loop.time() + TAKE_S
+        while poll.poll(0) and self.loop.time() < end:
+            await asyncio.sleep(0)
+        self.stop_listening()
+
+    def stop_listening(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def close_idle(self) -> None:
+        """While draining: end those between two requests, and those of which none came in the time that a
+        first one takes."""
+        settled = self.loop.time() - UNHEARD_S
+        for connection in list(self.connections):
+            if connection.idle() and (connection not in self._unheard or connection.last_change < settled):
+                connection.close_idle()
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -9,13 +9,14 @@
 
 import pytest
 
-from roselink.gateway import server
+from roselink.gateway import connections
+from roselink.gateway.connections import HttpConnection
 from roselink.gateway.server import ClientConnection, Server
 from roselink.gateway.upstream import BODY_LIMIT
 from tests.net import SuddenClient, World, answer, on_loop, say, serve_ok, taken, until, world
 
 
-async def resting(w: World) -> tuple[SuddenClient, ClientConnection]:
+async def resting(w: World) -> tuple[SuddenClient, HttpConnection]:
     """A client that has had an answer, and its connection, which rests."""
     client = SuddenClient(w.gateway.port)
     client.send()
@@ -33,28 +34,28 @@
         return b""
 
 
-def sweep(to: Server, connection: ClientConnection) -> None:
+def sweep(to: Server, connection: HttpConnection) -> None:
     connection.last_change -= 1000.0
     to.sweep()
 
 
-def rest_of_others(to: Server, connection: ClientConnection) -> None:
+def rest_of_others(to: Server, connection: HttpConnection) -> None:
     to._heard_most = -1
     to.rests(next(other for other in to.connections if other is not connection))
 
 
-def room(to: Server, connection: ClientConnection) -> None:
+def room(to: Server, connection: HttpConnection) -> None:
     to._end_another(connection)
 
 
-def drain(to: Server, connection: ClientConnection) -> None:
+def drain(to: Server, connection: HttpConnection) -> None:
     to.close_idle()
 
 
 @pytest.mark.parametrize("close", [sweep, rest_of_others, room, drain])
 @on_loop
 async def test_a_close_of_an_idle_connection_looks_for_a_request_first(
-    close: Callable[[Server, ClientConnection], None],
+    close: Callable[[Server, HttpConnection], None],
 ) -> None:
     async with world(serve_ok) as w, w.client():
         client, connection = await resting(w)
@@ -85,7 +86,7 @@
 async def test_a_drain_leaves_a_new_connection_the_time_for_its_first_request(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(server, "UNHEARD_S", 1000.0)
+    monkeypatch.setattr(connections, "UNHEARD_S", 1000.0)
     async with world(serve_ok) as w:
         client = SuddenClient(w.gateway.port)
         await until(lambda: bool(w.gateway.server.connections))
@@ -95,7 +96,7 @@
         assert b"Connection: close" in await received(client)
 
 
-async def unread(w: World) -> tuple[SuddenClient, ClientConnection]:
+async def unread(w: World) -> tuple[SuddenClient, HttpConnection]:
     """A client that has not read its answer, and its connection, which holds most of it: the kernel's buffers
     on both sides are small, so that the answer can never fit into them."""
     client = SuddenClient(w.gateway.port, receive_buffer=4096)
@@ -125,15 +126,15 @@
 
 @on_loop
 async def test_a_last_answer_is_read_whole_however_slowly(monkeypatch: pytest.MonkeyPatch) -> None:
-    looks: list[ClientConnection] = []
-    lingered = ClientConnection._lingered
+    looks: list[HttpConnection] = []
+    lingered = HttpConnection._lingered
 
-    def look(connection: ClientConnection) -> None:
+    def look(connection: HttpConnection) -> None:
         looks.append(connection)
         lingered(connection)
 
-    monkeypatch.setattr(server, "LINGER_S", 0.001)
-    monkeypatch.setattr(ClientConnection, "_lingered", look)
+    monkeypatch.setattr(connections, "LINGER_S", 0.001)
+    monkeypatch.setattr(HttpConnection, "_lingered", look)
     async with world(say(answer(b"x" * BODY_LIMIT))) as w:
         client, connection = await unread(w)
         connection._keep = False
@@ -145,13 +146,13 @@
         assert data.count(b"x") == BODY_LIMIT
 
 
-@pytest.mark.parametrize("close", [ClientConnection._lingered, ClientConnection.close_left])
+@pytest.mark.parametrize("close", [HttpConnection._lingered, HttpConnection.close_left])
 @on_loop
 async def test_a_last_answer_is_not_reset_by_what_still_comes(
-    close: Callable[[ClientConnection], object], monkeypatch: pytest.MonkeyPatch
+    close: Callable[[HttpConnection], object], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A slow client: its answer is with this kernel, most of it not with its own yet, and it sends on."""
-    monkeypatch.setattr(server, "LINGER_S", 1000.0)
+    monkeypatch.setattr(connections, "LINGER_S", 1000.0)
     async with world(say(answer(b"x" * BODY_LIMIT))) as w:
         client = SuddenClient(w.gateway.port, receive_buffer=4096)
         w.gateway.server.draining = True
@@ -193,7 +194,7 @@
 @on_loop
 async def test_what_comes_after_the_shutdown_is_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
     """Its client is told by the end, and sends it once more on a new connection."""
-    monkeypatch.setattr(server, "LINGER_S", 1000.0)
+    monkeypatch.setattr(connections, "LINGER_S", 1000.0)
     async with world(serve_ok) as w:
         asked, client = taken(w), SuddenClient(w.gateway.port)
         w.gateway.server.draining = True
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,11 +9,12 @@
 
 import pytest
 
-from roselink.gateway import server
+from roselink.gateway import connections, server
 from roselink.gateway.config import RESERVED
+from roselink.gateway.connections import HttpConnection
 from roselink.gateway.discovery import server_number
 from roselink.gateway.engine import ClientRequest
-from roselink.gateway.server import RECEIVE_S, UNREAD_S, ClientConnection
+from roselink.gateway.server import RECEIVE_S, UNREAD_S
 from roselink.gateway.upstream import HostConnection
 from roselink.routing.interface import (
     Action,
@@ -65,7 +66,7 @@
         return getattr(self._loop, name)
 
 
-async def joined(w: World) -> ClientConnection:
+async def joined(w: World) -> HttpConnection:
     """The one connection of a client, once the gateway has it."""
     await until(lambda: len(w.gateway.server.connections) == 1)
     return next(iter(w.gateway.server.connections))
@@ -639,7 +640,7 @@
     """Connections between two requests belong to usual clients: the never-heard go before them."""
     async with world(serve_ok, limits={"sockets": RESERVED + 16}) as w, w.client() as usual:
         assert (await usual.ask()).status == 200
-        monkeypatch.setattr(server, "UNHEARD_S", -1.0)
+        monkeypatch.setattr(connections, "UNHEARD_S", -1.0)
         silent = [await w.client().__aenter__() for _ in range(30)]
         assert await at_end(silent[0]) == b""
         assert (await usual.ask()).status == 200
@@ -744,8 +745,8 @@
 @on_loop
 async def test_clients_that_linger_over_an_error_make_room(monkeypatch: pytest.MonkeyPatch) -> None:
     """Bad clients hold their connection for a while after their last answer: usual ones come before them."""
-    monkeypatch.setattr(server, "LINGER_S", 1000.0)
-    monkeypatch.setattr(server, "UNHEARD_S", -1.0)
+    monkeypatch.setattr(connections, "LINGER_S", 1000.0)
+    monkeypatch.setattr(connections, "UNHEARD_S", -1.0)
     async with world(serve_ok, limits={"sockets": RESERVED + 16}) as w:
         bad = [await w.client().__aenter__() for _ in range(8)]
         for client in bad:
