Data plane of the fleet gateway: requests, attempts, event streams, resumption inside one answer

Cause: the fleet needs a data plane that passes streams on event by event, keeps the promises of 503 and 429, and takes up a cut stream at another host. Client connections and the host pool are the gateway's own, subclassed.

--- /dev/null
+++ b/roselink/dataplane/engine.py
@@ -0,0 +1,471 @@
+"""Drives the decider: events in, actions out, timers, one clock. Owns the open requests.
+
+Nothing about hosts, retries or refusals is decided here. What the engine adds is what real sockets need: an
+answer in time even if the decider says nothing, promises kept whatever it says, and a fault in one request
+that stays that request's own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import random
+from collections import Counter, deque
+from functools import partial
+
+from roselink.dataplane.exchange import AnswerMode, AttemptAnswer, ClientAnswer, Exchange
+from roselink.dataplane.interfaces import Authority, Decisions, Quotas, SharedBudget
+from roselink.dataplane.requests import ProxyRequest, attempt_head, host_head, priority_of
+from roselink.dataplane.routes import RouteEntry, RouteTable
+from roselink.dataplane.upstream import FleetAttempt, FleetHost, FleetUpstream
+from roselink.model.configuration import Tenant
+from roselink.model.fleet import HostState, Snapshot
+from roselink.routing.decisions import (
+    Action,
+    AskSharedBudget,
+    AttemptEnded,
+    BudgetDecided,
+    CancelAttempt,
+    Event,
+    FinalAnswer,
+    FirstEvent,
+    GiveUp,
+    RequestArrived,
+    RequestClosed,
+    RequestFacts,
+    SendAttempt,
+    StartTimer,
+    TimerFired,
+    TopologyChanged,
+)
+from roselink.routing.interface import NEVER_RAN, Outcome
+
+log = logging.getLogger("roselink.dataplane")
+
+DEFAULT_DEADLINE_S = 30.0
+# Before the client's deadline by this much the last word is said: room for the way to the client.
+MARGIN_S = 0.030
+MARGIN_PART = 0.25  # of the time that a client in a hurry gives: the margin shrinks to fit into that
+STREAM_OVER_S = 0.1  # a running stream ends so long after its deadline
+HOST_MARGIN_MS = 5  # hosts are told so much less: what they say at their deadline is still passed on
+NOT_CONFIRMED_RETRY_S = 0.25  # configuration, keys or places are missing here: other gateways have them
+CONNECTIONS_LEAST = 4  # to each host
+ROSTER_GUESS = 6  # gateways, where the roster is not known
+
+
+class Engine:
+    """One decider, one clock: the loop's."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        decider: Decisions,
+        upstream: FleetUpstream,
+        authority: Authority,
+        quotas: Quotas,
+        budget: SharedBudget,
+        seed: int,
+    ) -> None:
+        self._loop, self._decider, self._upstream = loop, decider, upstream
+        self._authority, self._quotas, self._budget = authority, quotas, budget
+        self._random = random.Random(seed)
+        self._numbers = itertools.count(1)
+        self._events: deque[Event] = deque()
+        self._busy = False
+        self._ends_at: float | None = None  # while draining: when all must have their answer
+        self.table: RouteTable | None = None
+        self.hosts: dict[str, FleetHost] = {}
+        self.open: dict[int, Exchange] = {}
+        self.counts: Counter[str] = Counter()
+
+    # From the authority.
+
+    def refresh(self) -> None:
+        """Take over the snapshot in force. It takes effect on the sockets first: what it ends must not get a
+        byte more. The decider hears of it before it hears what became of that."""
+        snapshot = self._authority.snapshot()
+        if snapshot is None:
+            return
+        if self.table is None or self.table.configuration is not snapshot.configuration:
+            self.table = RouteTable(snapshot.configuration)
+        self._events.append(TopologyChanged(snapshot.hosts, snapshot.configuration.services))
+        busy, self._busy = self._busy, True
+        try:
+            self._update_hosts(snapshot)
+        finally:
+            self._busy = busy
+        if not busy:
+            self._run()
+
+    def _update_hosts(self, snapshot: Snapshot) -> None:
+        gateways = len(snapshot.roster) or ROSTER_GUESS
+        limits = {service.name: service.max_connections for service in snapshot.configuration.services}
+        told = {host.id: host for host in snapshot.hosts}
+        for name, host in list(self.hosts.items()):
+            line = told.get(name)
+            if line is None or _address(line.address) != host.address or line.service != host.service:
+                del self.hosts[name]
+                self._upstream.retire(host)
+        for name, line in told.items():
+            most = max(CONNECTIONS_LEAST, limits.get(line.service, 0) // gateways)
+            current = self.hosts.get(name)
+            if current is None:
+                current = self.hosts[name] = FleetHost(name, line.service, _address(line.address), most)
+            current.most = most
+            if line.state is HostState.READY:
+                current.ready = True
+            elif current.ready:
+                self._upstream.retire(current)
+
+    # From the client side.
+
+    def accept(self, request: ProxyRequest, client: ClientAnswer) -> Exchange | None:
+        """Take a request; None if it is answered already. The client gets one answer, unless it leaves."""
+        self.counts["requests"] += 1
+        table, usable = self.table, self._authority.may_use_keys()
+        entry = table.find(request.host, request.path) if table is not None else None
+        if table is None or (entry is None and not usable):
+            self._refuse(client, 503, NOT_CONFIRMED_RETRY_S)
+            return None
+        if entry is None:
+            self._refuse(client, 404)
+            return None
+        tenant = None
+        if table.keyed and not entry.route.public:
+            if not usable:
+                self._refuse(client, 503, NOT_CONFIRMED_RETRY_S)
+                return None
+            tenant = table.tenant(request.key)
+            if tenant is None:
+                self._refuse(client, 401)
+                return None
+        return self._open(request, entry, tenant, client)
+
+    def _refuse(self, client: ClientAnswer, status: int, retry_after_s: float | None = None) -> None:
+        self.counts[f"refused_{status}"] += 1
+        client.own(status, retry_after_s)
+
+    def _open(
+        self, request: ProxyRequest, entry: RouteEntry, tenant: Tenant | None, client: ClientAnswer
+    ) -> Exchange | None:
+        route, now = entry.route, self._loop.time()
+        allowed_s = DEFAULT_DEADLINE_S if request.deadline_s is None else request.deadline_s
+        if route.timeout_ms > 0:
+            allowed_s = min(allowed_s, route.timeout_ms / 1000)
+        exchange = Exchange(request, route, tenant, host_head(request, route, tenant), client)
+        exchange.number, exchange.service = next(self._numbers), entry.draw(self._random)
+        exchange.expires_at = request.since + allowed_s
+        if self._ends_at is not None:
+            exchange.expires_at = min(exchange.expires_at, self._ends_at)
+        margin_s = min(MARGIN_S, MARGIN_PART * max(0.0, exchange.expires_at - request.since))
+        exchange.give_up_at = exchange.expires_at - margin_s
+        if exchange.give_up_at <= now:
+            self._refuse(client, 503, 0.0)
+            return None
+        self.open[exchange.number] = exchange
+        exchange.guard = self._loop.call_at(exchange.give_up_at, self._out_of_time, exchange)
+        if tenant is None or tenant.rate_per_s <= 0:
+            self._admitted(exchange, True, 0.0)
+        else:
+            self._quotas.admit(tenant, _amount(request, tenant), partial(self._admitted, exchange))
+        return None if exchange.closed else exchange
+
+    def _admitted(self, exchange: Exchange, allowed: bool, retry_after_s: float) -> None:
+        if exchange.closed or exchange.facts is not None:
+            return
+        if not allowed:
+            self._answer_own(exchange, 429, retry_after_s)
+            return
+        request, route = exchange.request, exchange.route
+        tokens_in, tokens_out = request.tokens or (0, 0)
+        exchange.facts = RequestFacts(
+            number=exchange.number,
+            route=route.name,
+            service=exchange.service,
+            repeatable=route.repeatable,
+            streaming=exchange.streaming,
+            arrived_at=request.since,
+            give_up_at=exchange.give_up_at,
+            aim_s=route.target_latency_ms / 1000,
+            max_attempts=route.max_attempts,
+            priority=priority_of(route, exchange.tenant),
+            affinity=route.session_affinity,
+            prompt=request.prompt,
+            tokens_in=tokens_in,
+            tokens_out=tokens_out,
+        )
+        self.feed(RequestArrived(exchange.facts))
+
+    def depart(self, exchange: Exchange) -> None:
+        """The client has gone."""
+        if not exchange.closed:
+            self.counts["departed"] += 1
+            self._close(exchange)
+
+    def drain(self, ends_at: float) -> None:
+        """All requests have their answer at `ends_at`, loop time."""
+        self._ends_at = ends_at
+        for exchange in self.open.values():
+            if exchange.expires_at > ends_at:
+                exchange.expires_at = ends_at
+                exchange.give_up_at = min(exchange.give_up_at, ends_at - MARGIN_S)
+                self._guard_at(exchange, exchange.give_up_at)
+
+    # Time.
+
+    def _guard_at(self, exchange: Exchange, at: float) -> None:
+        if exchange.guard is not None:
+            exchange.guard.cancel()
+        exchange.guard = self._loop.call_at(at, self._out_of_time, exchange)
+
+    def _out_of_time(self, exchange: Exchange) -> None:
+        """The decider hears that the attempts were timed out; the last word is said now in any case."""
+        if exchange.closed:
+            return
+        ends_at = exchange.expires_at + STREAM_OVER_S
+        if exchange.begun and self._loop.time() < ends_at:
+            self._guard_at(exchange, ends_at)
+            return
+        for answer in list(exchange.attempts.values()):
+            if answer.attempt is not None:
+                answer.attempt.end(Outcome.TIMEOUT)
+        self._give_up(exchange, GiveUp.OUT_OF_TIME, 0.0)
+
+    # The decider.
+
+    def feed(self, event: Event) -> None:
+        """Give the decider one event and carry out what it says. What an action brings about at once is fed
+        after it, in order, never from inside the decider."""
+        self._events.append(event)
+        if not self._busy:
+            self._run()
+
+    def _run(self) -> None:
+        self._busy = True
+        try:
+            while self._events:
+                self._step(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _step(self, event: Event) -> None:
+        try:
+            actions = self._decider.handle(self._loop.time(), event)
+        except Exception:  # one request's fault must not take the gateway down
+            log.exception("the decider failed on %s", type(event).__name__)
+            if isinstance(event, RequestArrived):
+                self._fail(event.facts.number)
+            elif isinstance(event, AttemptEnded | BudgetDecided | FirstEvent):
+                self._fail(event.number)
+            return
+        for action in actions:
+            try:
+                self._perform(action)
+            except Exception:
+                log.exception("could not carry out %s", type(action).__name__)
+                if not isinstance(action, StartTimer):
+                    self._fail(action.number)
+
+    def _fail(self, number: int) -> None:
+        exchange = self.open.get(number)
+        if exchange is not None:
+            self._give_up(exchange, GiveUp.MAY_HAVE_RUN, 0.0)
+
+    def _perform(self, action: Action) -> None:
+        if isinstance(action, StartTimer):
+            self._loop.call_at(action.at, self.feed, TimerFired(action.tag))
+            return
+        exchange = self.open.get(action.number)
+        if isinstance(action, SendAttempt):
+            self._send(exchange, action)
+        elif exchange is None:
+            return
+        elif isinstance(action, CancelAttempt):
+            answer = exchange.attempts.get(action.attempt)
+            if answer is not None and answer.attempt is not None:
+                answer.attempt.cancel()
+        elif isinstance(action, AskSharedBudget):
+            self._budget.ask(action.service, partial(self._budget_decided, action.number))
+        elif isinstance(action, FinalAnswer):
+            self._give_up(exchange, action.reason, action.retry_after_s)
+
+    def _budget_decided(self, number: int, allowed: bool) -> None:
+        self.feed(BudgetDecided(number, allowed))
+
+    # Attempts.
+
+    def _send(self, exchange: Exchange | None, action: SendAttempt) -> None:
+        host = self.hosts.get(action.host)
+        if (
+            exchange is None
+            or exchange.closed
+            or host is None
+            or host.service != exchange.service
+            or self._loop.time() >= (exchange.expires_at if exchange.begun else exchange.give_up_at)
+            or (exchange.begun and not (exchange.broken and exchange.can_resume))
+            or not self._wanted(exchange)
+        ):
+            self._events.append(AttemptEnded(action.number, action.attempt, Outcome.MOOT, 0.0))
+            if exchange is not None and exchange.distrusted:
+                self._give_up(exchange, GiveUp.NOT_RUN, NOT_CONFIRMED_RETRY_S)
+            return
+        now, resume = self._loop.time(), exchange.begun
+        answer = AttemptAnswer(exchange, action.attempt, resume, now, self._first_event, self._ended)
+        attempt = FleetAttempt(
+            self._loop,
+            host,
+            exchange.request.id,
+            exchange.request.method == b"HEAD",
+            exchange.expires_at + 1.0 - now,
+            answer,
+            partial(self._wanted, exchange),
+        )
+        answer.attempt = attempt
+        exchange.attempts[action.attempt] = answer
+        self.counts["attempts"] += 1
+        if resume:
+            self.counts["resumed"] += 1
+        self._upstream.begin(attempt, partial(self._render, exchange, host, resume))
+
+    def _render(self, exchange: Exchange, host: FleetHost, resume: bool) -> bytes:
+        """The request as a host gets it now."""
+        left_ms = max(1, int((exchange.give_up_at - self._loop.time()) * 1000) - HOST_MARGIN_MS)
+        last = exchange.request.last_event_id
+        if resume:
+            last = b"%d" % (exchange.progress.last_id or 0)
+        return exchange.base + attempt_head(host.name, left_ms, last) + exchange.request.body
+
+    def _wanted(self, exchange: Exchange) -> bool:
+        """Asked right before each write to a host: does someone wait, and does the key still count."""
+        if exchange.closed:
+            return False
+        if exchange.client.gone():
+            self.depart(exchange)
+            return False
+        if exchange.tenant is not None and not self._key_counts(exchange):
+            exchange.distrusted = True
+            return False
+        return True
+
+    def _key_counts(self, exchange: Exchange) -> bool:
+        held = self.table is not None and self.table.tenant(exchange.request.key) is not None
+        return held and self._authority.may_use_keys()
+
+    def _first_event(self, answer: AttemptAnswer) -> None:
+        self.feed(FirstEvent(answer.exchange.number, answer.number))
+
+    def _ended(self, answer: AttemptAnswer, outcome: Outcome) -> None:
+        exchange = answer.exchange
+        exchange.attempts.pop(answer.number, None)
+        if answer.sent and outcome not in NEVER_RAN:
+            exchange.may_have_run = True
+        relayed = False
+        if outcome is Outcome.SUCCESS and not self._succeeded(answer):
+            outcome = Outcome.RESET
+        elif outcome is Outcome.ERROR:
+            relayed = self._failed(answer)
+        elif outcome is Outcome.CANCELLED and answer.spoilt:
+            outcome = Outcome.RESET
+        cut = answer.progressed and not exchange.closed
+        if cut:
+            exchange.broken = exchange.can_resume
+        self.counts[f"attempt_{outcome.value}"] += 1
+        self.feed(
+            AttemptEnded(
+                exchange.number,
+                answer.number,
+                outcome,
+                max(0.0, self._loop.time() - answer.started),
+                progressed=answer.progressed or (answer.resumed and exchange.begun),
+                relayed=relayed,
+                wrong_host=outcome is Outcome.FULL and answer.status == 421,
+            )
+        )
+        if exchange.closed:
+            self._close(exchange)
+        elif cut and not exchange.broken:
+            self._give_up(exchange, GiveUp.MAY_HAVE_RUN, 0.0)
+        elif exchange.distrusted:
+            self._give_up(exchange, GiveUp.NOT_RUN, NOT_CONFIRMED_RETRY_S)
+
+    def _succeeded(self, answer: AttemptAnswer) -> bool:
+        """A whole answer with its stamp: pass on what of it has not gone on. False if it turns out cut."""
+        exchange = answer.exchange
+        if exchange.closed or not answer.may_go_on:
+            return True
+        if answer.mode is AnswerMode.HOLD:
+            exchange.client.whole(*answer.whole())
+        elif answer.finish_stream():
+            exchange.client.end()
+        else:
+            return False
+        self.counts["served"] += 1
+        exchange.closed = True
+        return True
+
+    def _failed(self, answer: AttemptAnswer) -> bool:
+        """A whole answer that is no success. A host's 4xx is the client's own; a failure is kept while the
+        decider may try again. Whether the client has it."""
+        exchange, failure = answer.exchange, answer.failure()
+        if failure is None or exchange.closed or exchange.begun:
+            return False
+        if failure.status >= 500:
+            exchange.held = failure
+            return False
+        exchange.client.whole(*failure)
+        self.counts["relayed"] += 1
+        exchange.closed = True
+        return True
+
+    # The end of a request.
+
+    def _give_up(self, exchange: Exchange, reason: GiveUp, retry_after_s: float) -> None:
+        """The final answer of ours. What it promises is true, whatever the reason given."""
+        if exchange.closed:
+            return
+        if exchange.begun:
+            exchange.client.cut()
+            self.counts["cut"] += 1
+            self._close(exchange)
+        elif not exchange.may_run:
+            self._answer_own(exchange, 503, retry_after_s)
+        elif exchange.held is not None:
+            exchange.client.whole(*exchange.held)
+            self.counts["relayed"] += 1
+            self._close(exchange)
+        else:
+            self._answer_own(exchange, 504 if reason is GiveUp.OUT_OF_TIME else 502)
+
+    def _answer_own(self, exchange: Exchange, status: int, retry_after_s: float | None = None) -> None:
+        self.counts[f"refused_{status}"] += 1
+        exchange.client.own(status, retry_after_s)
+        self._close(exchange)
+
+    def _close(self, exchange: Exchange) -> None:
+        """It has its final answer, or nobody waits for one. The decider is told, and what is out ends."""
+        exchange.closed = True
+        if self.open.pop(exchange.number, None) is None:
+            return
+        if exchange.guard is not None:
+            exchange.guard.cancel()
+            exchange.guard = None
+        if exchange.facts is not None:
+            self._events.append(RequestClosed(exchange.number))
+        for answer in list(exchange.attempts.values()):
+            if answer.attempt is not None:
+                answer.attempt.cancel()
+        if not self._busy:
+            self._run()
+
+
+def _amount(request: ProxyRequest, tenant: Tenant) -> float:
+    """What a request counts against its tenant's quota."""
+    if tenant.unit != "tokens":
+        return 1.0
+    return float(sum(request.tokens) if request.tokens is not None else tenant.plain_tokens)
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/roselink/dataplane/events.py
@@ -0,0 +1,136 @@
+"""Event streams without I/O: cut bytes into whole events, and keep a resumed stream without gap or repeat.
+
+An event ends with an empty line. Ids are whole numbers that rise.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+_END = re.compile(rb"\n\r?\n")
+_ID = re.compile(rb"^id:[ ]?(\d{1,18})\r?$", re.MULTILINE)
+_FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)  # a line that is no comment
+_LOOK_BACK = 2  # bytes of an end that may have come before
+
+
+class StreamEvent(NamedTuple):
+    """One whole event as it came. `id`: None where it has none; `comment`: it has no field at all."""
+
+    data: bytes
+    id: int | None
+    comment: bool
+
+
+def read_event(data: bytes) -> StreamEvent:
+    """The event in `data`, its empty line included."""
+    found = _ID.search(data)
+    return StreamEvent(data, int(found.group(1)) if found else None, not found and not _FIELD.search(data))
+
+
+class EventSplitter:
+    """Cuts a body into whole events. `rest`: the bytes behind the last whole one."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """The events that `data` completes."""
+        looked = max(0, len(self.rest) - _LOOK_BACK)
+        buffer = self.rest + data
+        events = []
+        start = 0
+        while found := _END.search(buffer, looked):
+            events.append(read_event(buffer[start : found.end()]))
+            start = looked = found.end()
+        self.rest = buffer[start:]
+        return events
+
+
+class Progress:
+    """What of one answer's stream went on to the client, over all its attempts."""
+
+    def __init__(self, taken_up_at: int = 0) -> None:
+        """`taken_up_at`: the client's own `Last-Event-Id`, 0 without one."""
+        self.last_id: int | None = None
+        self._before = taken_up_at
+        self._step = 0  # the widest step from one id to the next
+        self._loose = False  # an event without id went on behind the last one with an id
+
+    @property
+    def resumable(self) -> bool:
+        """Whether an id tells exactly what the client has."""
+        return self.last_id is not None and not self._loose
+
+    def pass_on(self, event: StreamEvent) -> None:
+        """Note an event that goes on."""
+        if event.id is None:
+            self._loose = self._loose or not event.comment
+            return
+        before = self._before if self.last_id is None else self.last_id
+        self._step = max(self._step, event.id - before)
+        self.last_id, self._loose = event.id, False
+
+    def skips(self, event_id: int) -> bool:
+        """Whether an event that is next in a resumed stream leaves some out."""
+        return self.last_id is not None and event_id > self.last_id + max(1, self._step)
+
+
+class StreamFilter:
+    """One attempt's stream on its way: what of it goes on. With `resumed`, events that the client has are
+    left out, and a stream that leaves some out sets `gap`."""
+
+    def __init__(self, progress: Progress, resumed: bool) -> None:
+        self._progress, self._resumed = progress, resumed
+        self._splitter = EventSplitter()
+        self._repeating = False  # in a resumed stream: behind an event that the client has
+        self._joined = not resumed  # its first new event has gone on
+        self._waiting: list[bytes] = []  # comments ahead of the first event
+        self.gap = False
+        self.passed = False  # an event with content went on
+
+    @property
+    def held(self) -> int:
+        """Bytes that wait for the rest of their event."""
+        return len(self._splitter.rest) + sum(map(len, self._waiting))
+
+    def feed(self, data: bytes) -> bytes:
+        """The whole events in `data` that go on now. Comments wait for the first event."""
+        out = self._waiting
+        for event in self._splitter.feed(data):
+            if not self._goes_on(event):
+                if self.gap:
+                    break
+                continue
+            self._progress.pass_on(event)
+            self.passed = self.passed or not event.comment
+            out.append(event.data)
+        if not self.passed:
+            return b""
+        self._waiting = []
+        return b"".join(out)
+
+    def finish(self) -> bytes:
+        """What is left at the proper end of the body."""
+        rest = b"" if self._repeating or self.gap else self._splitter.rest
+        return b"".join(self._waiting) + rest
+
+    @property
+    def half(self) -> bool:
+        """Whether the body stops within an event."""
+        return bool(self._splitter.rest.strip())
+
+    def _goes_on(self, event: StreamEvent) -> bool:
+        if not self._resumed:
+            return True
+        if event.id is None:
+            return not self._repeating and (self._joined or not event.comment)
+        last = self._progress.last_id
+        self._repeating = last is not None and event.id <= last
+        if self._repeating:
+            return False
+        if not self._joined and self._progress.skips(event.id):
+            self.gap = True
+            return False
+        self._joined = True
+        return True
--- /dev/null
+++ b/roselink/dataplane/exchange.py
@@ -0,0 +1,248 @@
+"""One client request from its admission to its last byte: the answers of its attempts, and which goes on.
+
+At most one attempt's answer goes on to the client. An answer is held until it is whole, an event stream until
+its first event; a resumed stream goes on inside the answer that the first host began.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+from roselink.dataplane.events import Progress, StreamFilter
+from roselink.dataplane.requests import Headers, ProxyRequest, relayed_headers
+from roselink.dataplane.upstream import PROMISES, FleetAttempt, outcome_of
+from roselink.model.configuration import Route, RouteKind, Tenant
+from roselink.routing.decisions import RequestFacts
+from roselink.routing.interface import NEVER_RAN, Outcome
+
+HOLD_LIMIT = 256 * 1024  # bytes of an answer that wait here for the rest of it
+
+
+class ClientAnswer(Protocol):
+    """The client's side of one request: one whole answer, or one in parts."""
+
+    def whole(self, status: int, headers: Headers, body: bytes) -> None: ...
+
+    def own(self, status: int, retry_after_s: float | None = None) -> None:
+        """An answer of ours, without a body."""
+        ...
+
+    def begin(self, status: int, headers: Headers, length: int | None) -> None: ...
+
+    def part(self, data: bytes) -> None: ...
+
+    def end(self) -> None: ...
+
+    def cut(self) -> None:
+        """End the connection so that what was sent does not look complete."""
+        ...
+
+    def gone(self) -> bool:
+        """Whether the client has left, though the loop has not told so yet."""
+        ...
+
+    def waits(self) -> bool:
+        """Whether parts pile up, as the client does not take them."""
+        ...
+
+
+class HeldAnswer(NamedTuple):
+    """A host's own failure, whole."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class AnswerMode(Enum):
+    """How an attempt's answer is taken."""
+
+    HOLD = "hold"
+    EVENTS = "events"
+    PASS = "pass"
+
+
+class Exchange:
+    """One request. `attempts`: those still out; `closed`: it has its final answer, or its client has left."""
+
+    def __init__(
+        self, request: ProxyRequest, route: Route, tenant: Tenant | None, base: bytes, client: ClientAnswer
+    ) -> None:
+        self.request, self.route, self.tenant, self.base, self.client = request, route, tenant, base, client
+        self.facts: RequestFacts | None = None  # None: the decider has not heard of it
+        self.number = 0
+        self.service = ""
+        self.give_up_at = self.expires_at = 0.0
+        self.attempts: dict[int, AttemptAnswer] = {}
+        self.owner: AttemptAnswer | None = None  # whose answer goes on
+        self.begun = self.closed = False
+        self.broken = False  # the stream that goes on was cut, and may be taken up
+        self.may_have_run = False  # by an attempt that has ended
+        self.distrusted = False  # its key may not be used any more
+        self.held: HeldAnswer | None = None
+        taken_up = request.last_event_id
+        self.progress = Progress(int(taken_up) if taken_up.isdigit() and len(taken_up) < 19 else 0)
+        self.guard: asyncio.TimerHandle | None = None
+
+    @property
+    def streaming(self) -> bool:
+        return self.route.kind is RouteKind.STREAMING
+
+    @property
+    def may_run(self) -> bool:
+        """Whether a host may have run it, or may yet."""
+        return self.may_have_run or any(answer.sent for answer in self.attempts.values())
+
+    @property
+    def can_resume(self) -> bool:
+        return self.begun and self.route.resumable and self.streaming and self.progress.resumable
+
+    def client_ready(self) -> None:
+        """The client takes parts again."""
+        if self.owner is not None and self.owner.attempt is not None:
+            self.owner.attempt.resume()
+
+
+class AttemptAnswer:
+    """One attempt's answer as it comes in. `first_event` and `ended` are told of it."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        number: int,
+        resumed: bool,
+        started: float,
+        first_event: Callable[[AttemptAnswer], None],
+        ended: Callable[[AttemptAnswer, Outcome], None],
+    ) -> None:
+        self.exchange, self.number, self.resumed, self.started = exchange, number, resumed, started
+        self._first_event, self._ended = first_event, ended
+        self.attempt: FleetAttempt | None = None
+        self.mode = AnswerMode.HOLD
+        self.status = 0
+        self.headers: Headers = []
+        self._outcome = Outcome.RESET
+        self._body: list[bytes] = []
+        self._size = 0
+        self._filter: StreamFilter | None = None
+        self.spoilt = False  # given up here for what it holds
+
+    @property
+    def sent(self) -> bool:
+        return self.attempt is not None and self.attempt.sent
+
+    @property
+    def progressed(self) -> bool:
+        """Whether part of it went on."""
+        return self.exchange.begun and self.exchange.owner is self
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether no other attempt's answer goes on."""
+        exchange = self.exchange
+        return exchange.owner in (None, self) or (exchange.broken and self.resumed)
+
+    # What the connection tells.
+
+    def head(self, status: int, headers: Headers) -> None:
+        self.status, self.headers = status, headers
+        self._outcome = outcome_of(status, {name.lower(): value for name, value in headers})
+        if self._outcome is Outcome.SUCCESS and self.exchange.streaming:
+            self.mode = AnswerMode.EVENTS
+            self._filter = StreamFilter(self.exchange.progress, self.resumed)
+
+    def body(self, data: bytes) -> None:
+        if self.mode is AnswerMode.PASS:
+            self._part(data)
+        elif self._filter is not None:
+            self._events(self._filter, data)
+        else:
+            self._hold(data)
+
+    def done(self, outcome: Outcome) -> None:
+        if not self.sent and outcome not in NEVER_RAN:
+            outcome = Outcome.MOOT
+        self._ended(self, outcome)
+
+    def _events(self, stream: StreamFilter, data: bytes) -> None:
+        out = stream.feed(data)
+        if out and self._claim(None):
+            self._part(out)
+        if stream.gap or stream.held > HOLD_LIMIT:
+            self._give_up()
+
+    def _hold(self, data: bytes) -> None:
+        self._body.append(data)
+        self._size += len(data)
+        if self._size <= HOLD_LIMIT:
+            return
+        if self._outcome is not Outcome.SUCCESS or self.resumed:
+            self._give_up()
+        elif self._claim(self._told_length()):
+            self.mode = AnswerMode.PASS
+            whole, self._body = b"".join(self._body), []
+            self._part(whole)
+
+    def _told_length(self) -> int | None:
+        for name, value in self.headers:
+            if name.lower() == b"content-length" and value.isdigit():
+                return int(value)
+        return None
+
+    def _claim(self, length: int | None) -> bool:
+        """Make this the answer that goes on; whether it is."""
+        exchange = self.exchange
+        if exchange.closed:
+            return False
+        if not self.may_go_on:
+            if self.attempt is not None:
+                self.attempt.cancel()
+            return False
+        if exchange.owner is self:
+            return True
+        exchange.owner, exchange.broken = self, False
+        if not exchange.begun:
+            exchange.begun = True
+            exchange.client.begin(self.status, relayed_headers(self.headers), length)
+            self._first_event(self)
+        return True
+
+    def _part(self, data: bytes) -> None:
+        exchange = self.exchange
+        if exchange.closed:
+            return
+        exchange.client.part(data)
+        if self.attempt is not None and exchange.client.waits():
+            self.attempt.pause()
+
+    def _give_up(self) -> None:
+        self.spoilt = True
+        if self.attempt is not None:
+            self.attempt.end(Outcome.CANCELLED)
+
+    # What the engine asks once it has ended.
+
+    def finish_stream(self) -> bool:
+        """Pass on the rest of an answer that ended properly; False if it can't be whole."""
+        stream = self._filter
+        if stream is None:
+            return True
+        by_close = self.attempt is not None and self.attempt.by_close
+        if stream.gap or (by_close and stream.half) or not self._claim(None):
+            return False
+        rest = stream.finish()
+        if rest:
+            self._part(rest)
+        return True
+
+    def whole(self) -> HeldAnswer:
+        return HeldAnswer(self.status, relayed_headers(self.headers), b"".join(self._body))
+
+    def failure(self) -> HeldAnswer | None:
+        """The host's own failure, if a client may see it: no status that promises what nobody knows."""
+        if self._outcome is not Outcome.ERROR or self.status in PROMISES or 200 <= self.status < 300:
+            return None
+        return self.whole()
--- /dev/null
+++ b/roselink/dataplane/interfaces.py
@@ -0,0 +1,49 @@
+"""What the data plane is given by the rest of the process. All calls are made on the loop's thread."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from roselink.model.configuration import Tenant
+from roselink.model.fleet import Snapshot
+from roselink.routing.decisions import Action, Event
+
+
+class Decisions(Protocol):
+    """Which host gets which attempt, and when to give up. The engine feeds it, in this order for each
+    request: `RequestArrived`; then `FirstEvent`, `AttemptEnded` and `BudgetDecided` as they come;
+    `RequestClosed` once. Each attempt that was asked for ends with one `AttemptEnded`, also one called off by
+    the close, behind `RequestClosed`."""
+
+    def handle(self, now: float, event: Event) -> list[Action]: ...
+
+
+class Authority(Protocol):
+    """What is in force here, and whether this gateway may still go by it."""
+
+    def snapshot(self) -> Snapshot | None: ...
+
+    def may_use_keys(self) -> bool:
+        """Whether the keys of the snapshot are confirmed to be still held."""
+        ...
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` behind each new snapshot."""
+        ...
+
+
+class Quotas(Protocol):
+    """The tenants' quotas over all gateways."""
+
+    def admit(self, tenant: Tenant, amount: float, decide: Callable[[bool, float], None]) -> None:
+        """Ask for `amount` requests or tokens; `decide(allowed, retry_after_s)` comes once, maybe later."""
+        ...
+
+
+class SharedBudget(Protocol):
+    """The repeats that all gateways share, by service."""
+
+    def ask(self, service: str, decide: Callable[[bool], None]) -> None:
+        """Ask for one repeat; `decide(allowed)` is called once, now or later."""
+        ...
--- /dev/null
+++ b/roselink/dataplane/plane.py
@@ -0,0 +1,133 @@
+"""The data plane of one gateway, wired: listeners, engine, pool, readiness, draining."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import zlib
+
+from roselink.dataplane.engine import Engine
+from roselink.dataplane.interfaces import Authority, Decisions, Quotas, SharedBudget
+from roselink.dataplane.server import DataServer, ReadinessServer
+from roselink.dataplane.upstream import FleetUpstream
+from roselink.gateway.config import Descriptors
+from roselink.gateway.connections import HttpServer
+from roselink.model.settings import ProcessSettings
+
+log = logging.getLogger("roselink.dataplane")
+
+SWEEP_S = 0.25
+SWEEP_LATE_S = 1.0  # a sweep that comes so late ends nothing: what came meanwhile has not been read
+ACCEPT_S = 2.5  # after SIGTERM: the platform asks once a second, and sends connections until two misses
+RESERVE_S = 1.0  # of the time to the kill: for the last answers to leave and the process to end
+CLOSE_S = 0.02
+OTHER_DESCRIPTORS = 300  # not for clients and hosts: files, peers, libraries
+
+
+class DataPlane:
+    """Public face: `start`, `begin_drain`, `drained`, `stop`, `status_line`."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        loop: asyncio.AbstractEventLoop,
+        decider: Decisions,
+        authority: Authority,
+        quotas: Quotas,
+        shared_budget: SharedBudget,
+    ) -> None:
+        self._settings, self._loop, self._authority = settings, loop, authority
+        descriptors = Descriptors(max(128, settings.resources.max_fds - OTHER_DESCRIPTORS))
+        self.upstream = FleetUpstream(loop, descriptors)
+        seed = zlib.crc32(settings.node_name.encode())
+        self.engine = Engine(loop, decider, self.upstream, authority, quotas, shared_budget, seed)
+        make_room = self.upstream.drop_oldest_idle
+        self.server = DataServer(loop, self.engine, descriptors, make_room)
+        self.readiness = ReadinessServer(loop, self.ready, descriptors, make_room)
+        self.port = self.readiness_port = 0
+        self.draining = False
+        self._drain_ends_at = 0.0
+        self._drained = asyncio.Event()
+        self._drain_task: asyncio.Task[None] | None = None
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._swept_at = loop.time()
+
+    def ready(self) -> bool:
+        """Whether the platform should send clients here."""
+        known = self.engine.table is not None and any(host.ready for host in self.engine.hosts.values())
+        return known and not self.draining and self._authority.may_use_keys()
+
+    async def start(self) -> None:
+        """Listen; raises `OSError` when an address can't be bound."""
+        self._authority.subscribe(self._refresh)
+        self._refresh()
+        self.port = await self._listen(self.server, "http")
+        self.readiness_port = await self._listen(self.readiness, "readiness")
+        self._swept_at = self._loop.time()
+        self._sweep_timer = self._loop.call_later(SWEEP_S, self._sweep)
+
+    async def _listen(self, server: HttpServer, name: str) -> int:
+        address = self._settings.bind.get(name)
+        return 0 if address is None else await server.listen(*address)
+
+    def _refresh(self) -> None:
+        self.engine.refresh()
+        if self.engine.table is not None:
+            self.server.limit(self.engine.table.configuration.limits)
+
+    def _sweep(self) -> None:
+        now = self._loop.time()
+        late = now - self._swept_at > SWEEP_S + SWEEP_LATE_S
+        self._swept_at = now
+        self._sweep_timer = self._loop.call_later(SWEEP_S, self._sweep)
+        if late:
+            return
+        try:
+            self.server.sweep()
+            self.readiness.sweep()
+            self.upstream.sweep()
+        except Exception:  # one connection's fault must not end the care for all others
+            log.exception("a sweep failed")
+
+    # The end.
+
+    def begin_drain(self) -> None:
+        """Not ready at once; connections are taken while the platform may still send them."""
+        if self.draining:
+            return
+        self.draining = self.server.draining = True
+        self._drain_ends_at = self._loop.time() + max(
+            ACCEPT_S + CLOSE_S, self._settings.thresholds.grace_s - RESERVE_S
+        )
+        self.engine.drain(self._drain_ends_at)
+        self._drain_task = self._loop.create_task(self._drain())
+
+    async def _drain(self) -> None:
+        await asyncio.sleep(ACCEPT_S)
+        await self.server.stop_taking()
+        while self.server.connections and self._loop.time() < self._drain_ends_at + 2 * CLOSE_S:
+            self.server.close_idle()
+            await asyncio.sleep(CLOSE_S)
+        self._drained.set()
+
+    async def drained(self) -> None:
+        """Returns once all that was read has its answer, or there is no more time."""
+        await self._drained.wait()
+
+    def stop(self) -> None:
+        """Close the listeners and all connections."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+        if self._drain_task is not None:
+            self._drain_task.cancel()
+        for server in (self.server, self.readiness):
+            server.stop_listening()
+            for connection in list(server.connections):
+                connection.abort()
+        for host in self.engine.hosts.values():
+            self.upstream.retire(host)
+
+    def status_line(self) -> str:
+        """Counters and what is open, for a log."""
+        counts = " ".join(f"{name}={count}" for name, count in sorted(self.engine.counts.items()))
+        return f"open={len(self.engine.open)} clients={len(self.server.connections)} {counts}"
--- /dev/null
+++ b/roselink/dataplane/routes.py
@@ -0,0 +1,63 @@
+"""Which route, service and tenant a request has under one configuration. Built once for each."""
+
+from __future__ import annotations
+
+import random
+from itertools import accumulate
+
+from roselink.model.configuration import Configuration, Route, Tenant
+
+
+class RouteEntry:
+    """One route with its split ready for the draw."""
+
+    def __init__(self, route: Route) -> None:
+        self.route = route
+        shares = [share for share in route.split if share.weight > 0] or list(route.split)
+        self.services = [share.service for share in shares]
+        self._sums = list(accumulate(share.weight for share in shares))
+
+    def draw(self, generator: random.Random) -> str:
+        """A service, by the split's weights."""
+        if len(self.services) == 1:
+            return self.services[0]
+        point = generator.random() * self._sums[-1]
+        for service, upto in zip(self.services, self._sums, strict=True):
+            if point < upto:
+                return service
+        return self.services[-1]
+
+
+class RouteTable:
+    """The routes and keys of one configuration."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._prefixes: dict[str, dict[str, RouteEntry]] = {}
+        for route in configuration.routes:
+            self._prefixes.setdefault(route.hostname, {})[route.path_prefix] = RouteEntry(route)
+        self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
+        self.keyed = bool(configuration.tenants)  # whether routes that aren't public take a key
+
+    def find(self, host: str, path: str) -> RouteEntry | None:
+        """The route of a `Host` header and a path (without its query): the longest prefix wins."""
+        prefixes = self._prefixes.get(hostname(host))
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            entry = prefixes.get(path[: end + 1])
+            if entry is not None:
+                return entry
+            end = path.rfind("/", 0, end)
+        return None
+
+    def tenant(self, key: str | None) -> Tenant | None:
+        """Who holds a key."""
+        return None if key is None else self._tenants.get(key)
+
+
+def hostname(host: str) -> str:
+    """A `Host` header without its port, in lower case."""
+    name, colon, port = host.rpartition(":")
+    return (name if colon and (port.isdigit() or not port) else host).strip().lower()
--- /dev/null
+++ b/roselink/dataplane/server.py
@@ -0,0 +1,212 @@
+"""The client side: requests in, one answer each out, whole or in parts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import struct
+from collections.abc import Callable
+
+from roselink.dataplane.engine import NOT_CONFIRMED_RETRY_S, Engine
+from roselink.dataplane.exchange import Exchange
+from roselink.dataplane.requests import Headers, ProxyRequest, read_request
+from roselink.gateway.config import Descriptors
+from roselink.gateway.connections import REASONS, Bad, HttpConnection, HttpServer, Pending, Sizes, Times
+from roselink.model.configuration import Limits
+
+log = logging.getLogger("roselink.dataplane")
+
+BODY_S = 10.0  # for a body to come in whole, behind the head's own time
+UNREAD_S = 10.0  # for a client to take what waits for it
+IDLE_OVER_S = 1.0  # connections rest here for so much longer than clients are told
+BODILESS = (204, 304)
+
+
+class DataConnection(HttpConnection):
+    """One client connection: its requests go to the engine."""
+
+    def __init__(self, server: DataServer) -> None:
+        super().__init__(server)
+        self._owner = server
+        self._exchange: Exchange | None = None
+        self._version = self._next_version = "1.1"
+        self._head_only = self._chunked = self._kept = False
+
+    def _departed(self) -> None:
+        if self._exchange is not None:
+            exchange, self._exchange = self._exchange, None
+            self._owner.engine.depart(exchange)
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if self._exchange is not None:
+            self._exchange.client_ready()
+
+    def _read(self, method: bytes, keep: bool) -> Pending:
+        assert self._parser is not None
+        request = read_request(method, self._url, self._headers, b"".join(self._body), self._read_at)
+        request.version = self._parser.get_http_version()
+        return Pending(request, 200, keep)
+
+    def _serve(self, pending: Pending) -> None:
+        self._serving, self._keep = True, pending.keep
+        request = pending.request
+        if not isinstance(request, ProxyRequest):
+            log.info("%d: %s", pending.status, pending.why)
+            self._head_only, self._version = False, "1.1"
+            self.own(pending.status)
+            return
+        self._head_only, self._version = request.method == b"HEAD", request.version
+        if self._owner.crowded():
+            self.own(503, NOT_CONFIRMED_RETRY_S)
+            return
+        try:
+            exchange = self._owner.engine.accept(request, self)
+        except Exception:
+            log.exception("a request failed")
+            if self._serving:
+                self.own(500)
+            return
+        if self._serving:  # not answered already
+            self._exchange = exchange
+
+    # The answer, as the engine gives it.
+
+    def own(self, status: int, retry_after_s: float | None = None) -> None:
+        """An answer of ours, without a body."""
+        headers: Headers = []
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % retry_after_s))
+        if status == 401:
+            headers.append((b"WWW-Authenticate", b"Bearer"))
+        self.whole(status, headers, b"")
+
+    def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """One whole answer."""
+        bare = self._head_only or status in BODILESS
+        self._write_head(status, headers, [] if bare else [b"Content-Length: %d" % len(body)], body)
+        self._end()
+
+    def begin(self, status: int, headers: Headers, length: int | None) -> None:
+        """The head of an answer in parts. Without a length told it goes in chunks."""
+        self._chunked = length is None and self._version != "1.0"
+        if length is not None:
+            framing = [b"Content-Length: %d" % length]
+        elif self._chunked:
+            framing = [b"Transfer-Encoding: chunked"]
+        else:
+            framing, self._keep = [], False  # the end of the connection is that of the answer
+        self._write_head(status, headers, framing, b"")
+
+    def part(self, data: bytes) -> None:
+        """Bytes of the body, now."""
+        self._write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+
+    def end(self) -> None:
+        """The body is whole."""
+        if self._chunked:
+            self._write(b"0\r\n\r\n")
+        self._end()
+
+    def cut(self) -> None:
+        """End the connection so that the answer does not look complete."""
+        self._exchange = None
+        if self._transport is not None and not self._chunked:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.abort()
+
+    def waits(self) -> bool:
+        """Whether parts pile up, as the client does not take them."""
+        return self._unread
+
+    def _write_head(self, status: int, headers: Headers, framing: list[bytes], body: bytes) -> None:
+        self._kept = self._may_keep()
+        lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b""))]
+        lines += [b"%b: %b" % header for header in headers]
+        lines += framing
+        lines.append(b"Connection: keep-alive" if self._kept else b"Connection: close")
+        self._write(b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if self._head_only else body))
+
+    def _end(self) -> None:
+        self._exchange = None
+        self._finish(self._kept)
+
+
+class DataServer(HttpServer):
+    """All client connections of the data plane."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        engine: Engine,
+        descriptors: Descriptors,
+        make_room: Callable[[], bool],
+    ) -> None:
+        self.engine = engine
+        super().__init__(loop, descriptors, make_room, _sizes(Limits()))
+        self.limit(Limits())
+
+    def limit(self, limits: Limits) -> None:
+        """Go by the configuration's limits from now on."""
+        self.sizes = _sizes(limits)
+        head_s, idle_s = limits.header_timeout_ms / 1000, limits.idle_timeout_ms / 1000
+        self._times = Times(head_s, head_s + BODY_S, UNREAD_S, (idle_s + IDLE_OVER_S,))
+
+    def times(self) -> Times:
+        return self._times
+
+    def connection(self) -> HttpConnection:
+        return DataConnection(self)
+
+
+def _sizes(limits: Limits) -> Sizes:
+    head, body = limits.max_header_bytes, limits.max_body_bytes
+    return Sizes(head, body, head + 4 * body)
+
+
+class ReadinessConnection(HttpConnection):
+    """A caller that asks whether this gateway is ready."""
+
+    def __init__(self, server: ReadinessServer) -> None:
+        super().__init__(server)
+        self._owner = server
+
+    def _read(self, method: bytes, keep: bool) -> Pending:
+        known = method in (b"GET", b"HEAD") and self._url.partition(b"?")[0] == b"/readyz"
+        if not known:
+            raise Bad(404, "no such page")
+        return Pending(None, 200, keep)
+
+    def _serve(self, pending: Pending) -> None:
+        self._serving, self._keep = True, pending.keep
+        status = pending.status
+        if status == 200 and not self._owner.ready():
+            status = 503
+        keep = self._may_keep()
+        self._write(
+            b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: %b\r\n\r\n"
+            % (status, REASONS[status], b"keep-alive" if keep else b"close")
+        )
+        self._finish(keep)
+
+
+class ReadinessServer(HttpServer):
+    """`GET /readyz`: 200 while `ready`."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        ready: Callable[[], bool],
+        descriptors: Descriptors,
+        make_room: Callable[[], bool],
+    ) -> None:
+        super().__init__(loop, descriptors, make_room, Sizes(8192, 8192, 65536))
+        self.ready = ready
+
+    def times(self) -> Times:
+        return Times(3.0, 3.0, 3.0, (30.0,))
+
+    def connection(self) -> HttpConnection:
+        return ReadinessConnection(self)
--- a/roselink/gateway/connections.py
+++ b/roselink/gateway/connections.py
@@ -21,6 +21,13 @@
 from roselink.gateway.config import LENT, Descriptors
 from roselink.gateway.look import SocketLook
 
+REASONS = {
+    200: b"OK", 201: b"Created", 202: b"Accepted", 204: b"No Content", 400: b"Bad Request",
+    401: b"Unauthorized", 403: b"Forbidden", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
+    413: b"Content Too Large", 421: b"Misdirected Request", 429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+    503: b"Service Unavailable", 504: b"Gateway Timeout",
+}
 BACKLOG = 1024  # connections that may wait in the kernel to be accepted
 AHEAD = 2  # requests parsed ahead on one connection: clients send one at a time
 SLICE = 2048  # bytes parsed at a time, a few requests: one read can hold hundreds
@@ -277,8 +284,9 @@
         """Whether the connection stays open behind this answer. What was sent ahead has been taken and is
         owed an answer, also where it lies in the kernel: the last answer says `close`."""
         ahead = bool(self._backlog) or bool(self._unfed) or self._partial
-        looked = self._look is not None and self._look.unread()
-        return self._keep and (ahead or not self._server.draining or looked)
+        if ahead or not self._server.draining or not self._keep:
+            return self._keep
+        return self._look is not None and self._look.unread()
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
--- a/roselink/gateway/server.py
+++ b/roselink/gateway/server.py
@@ -9,18 +9,13 @@
 from urllib.parse import unquote
 
 from roselink.gateway.config import Config, Descriptors
-from roselink.gateway.connections import Bad, HttpConnection, HttpServer, Pending, Sizes, Times
+from roselink.gateway.connections import REASONS, Bad, HttpConnection, HttpServer, Pending, Sizes, Times
 from roselink.gateway.engine import ClientRequest, Engine, OpenRequest, Reply
 from roselink.gateway.upstream import BODY_LIMIT, HEAD_LIMIT
 from roselink.routing.interface import Effect
 
 log = logging.getLogger("roselink.gateway.server")
 
-REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 413: b"Content Too Large",
-    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
-}
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length "
     b"request-timeout-ms proxy-authorization proxy-authenticate".split()
--- a/roselink/gateway/upstream.py
+++ b/roselink/gateway/upstream.py
@@ -44,6 +44,7 @@
         self.heard = 0.0  # loop time of its last byte
         self.idle: list[HostConnection] = []  # the most recently used last
         self.connecting: set[Attempt] = set()
+        self.open = 0  # connections that hold a descriptor
 
     def drop_idle(self) -> None:
         for connection in list(self.idle):
@@ -160,6 +161,10 @@
     def closing(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
+    def stale(self) -> bool:
+        """Whether it has been idle for longer than its host may keep it."""
+        return False  # `Upstream.sweep` ends those
+
     def unread(self) -> bool:
         """Whether bytes, or the end, have come that this process has not read yet: a close, or more than
         belonged to the last answer, which would be taken for the next one's."""
@@ -303,6 +308,12 @@
         """Begin an attempt on the connection used last that has settled, which is the least likely to be
         closing and brings nothing that belongs to the answer before."""
         attempt = Attempt(self._loop, host, timeout_s, done, wanted)
+        self.launch(attempt, lambda: request)
+        return attempt
+
+    def launch(self, attempt: Attempt, request: Callable[[], bytes]) -> None:
+        """Send what `request` returns right before the write."""
+        host = attempt.host
         settled = attempt.began - SETTLE_S
         for connection in reversed(host.idle.copy()):
             if connection.idle_since > settled:
@@ -311,21 +322,28 @@
             self._idle.pop(connection, None)
             if connection.closing():
                 continue
-            if connection.unread():
+            if connection.stale() or connection.unread():
                 connection.drop()
                 continue
-            connection.send(attempt, request)
-            return attempt
-        if not host.ready or not self._room():
+            connection.send(attempt, request())
+            return
+        if not host.ready or not self._may_connect(host) or not self._room():
             self._loop.call_soon(attempt.withdraw)
-            return attempt
+            return
         host.connecting.add(attempt)
         self._descriptors.used += 1
-        connection = HostConnection(self, host)
+        host.open += 1
+        connection = self._new_connection(host)
         attempt.task = self._loop.create_task(self._connect(attempt, connection, request))
         self._tasks.add(attempt.task)
         attempt.task.add_done_callback(partial(self._connected, connection))
-        return attempt
+
+    def _new_connection(self, host: Host) -> HostConnection:
+        return HostConnection(self, host)
+
+    def _may_connect(self, host: Host) -> bool:
+        """Whether the host takes one more connection from here."""
+        return True
 
     def now(self) -> float:
         return self._loop.time()
@@ -356,7 +374,9 @@
             return True
         return False
 
-    async def _connect(self, attempt: Attempt, connection: HostConnection, request: bytes) -> bool:
+    async def _connect(
+        self, attempt: Attempt, connection: HostConnection, request: Callable[[], bytes]
+    ) -> bool:
         """Bring up a connection for an attempt; whether it is in use."""
         host = attempt.host
         try:
@@ -370,7 +390,7 @@
         if not wanted or connection.closing():
             attempt.finish(Outcome.CONNECT_FAILED if wanted else Outcome.MOOT)
             return False
-        connection.send(attempt, request)
+        connection.send(attempt, request())
         return True
 
     def release(self, connection: HostConnection) -> None:
@@ -388,6 +408,7 @@
         if connection.counted:
             connection.counted = False
             self._descriptors.used -= 1
+            connection.host.open -= 1
         if self._idle.pop(connection, connection) is None:
             connection.host.idle.remove(connection)
 
