--- /dev/null
+++ b/roselink/dataplane/admission.py
@@ -0,0 +1,90 @@
+"""Whether a request may go on, by configuration and keys, and what the decider is told of it. No I/O."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from roselink.dataplane.exchange import Exchange
+from roselink.dataplane.requests import ProxyRequest, priority_of
+from roselink.dataplane.routes import RouteEntry, RouteTable
+from roselink.model.configuration import Route, Tenant
+from roselink.routing.decisions import RequestFacts
+
+DEFAULT_DEADLINE_S = 30.0
+# Before the client's deadline by this much the last word is said: room for the way to the client.
+MARGIN_S = 0.030
+MARGIN_PART = 0.25  # of the time that a client in a hurry gives: the margin shrinks to fit into that
+NOT_CONFIRMED_RETRY_S = 0.25  # configuration, keys or places are missing here: other gateways have them
+
+
+class Refusal(NamedTuple):
+    """An answer of ours. `retry_after_s`: None where coming back is no use."""
+
+    status: int
+    retry_after_s: float | None = None
+
+
+class Admitted(NamedTuple):
+    """The route of a request, and the tenant whose key it brings (None on routes that take no key)."""
+
+    entry: RouteEntry
+    tenant: Tenant | None
+
+
+NOT_CONFIRMED = Refusal(503, NOT_CONFIRMED_RETRY_S)
+
+
+def judge(table: RouteTable | None, keys_usable: bool, request: ProxyRequest) -> Refusal | Admitted:
+    """What the configuration says. A gateway that can't confirm its keys refuses by none, and does not call
+    a route unknown, as it may have missed one."""
+    if table is None:
+        return NOT_CONFIRMED
+    entry = table.find(request.host, request.path)
+    if entry is None:
+        return Refusal(404) if keys_usable else NOT_CONFIRMED
+    if not table.keyed or entry.route.public:
+        return Admitted(entry, None)
+    if not keys_usable:
+        return NOT_CONFIRMED
+    tenant = table.tenant(request.key)
+    return Refusal(401) if tenant is None else Admitted(entry, tenant)
+
+
+def allowed_s(request: ProxyRequest, route: Route) -> float:
+    """How long a request may take: its client's time, or the operator's if that is shorter."""
+    told = DEFAULT_DEADLINE_S if request.deadline_s is None else request.deadline_s
+    return min(told, route.timeout_ms / 1000) if route.timeout_ms > 0 else told
+
+
+def give_up_at(since: float, expires_at: float) -> float:
+    """When the last word is said."""
+    return expires_at - min(MARGIN_S, MARGIN_PART * max(0.0, expires_at - since))
+
+
+def amount_of(request: ProxyRequest, tenant: Tenant) -> float:
+    """What a request counts against its tenant's quota."""
+    if tenant.unit != "tokens":
+        return 1.0
+    return float(sum(request.tokens) if request.tokens is not None else tenant.plain_tokens)
+
+
+def facts_of(exchange: Exchange) -> RequestFacts:
+    """What the decider is told."""
+    request, route = exchange.request, exchange.route
+    tokens_in, tokens_out = request.tokens or (0, 0)
+    return RequestFacts(
+        number=exchange.number,
+        route=route.name,
+        service=exchange.service,
+        repeatable=route.repeatable,
+        streaming=exchange.streaming,
+        arrived_at=request.since,
+        give_up_at=exchange.give_up_at,
+        aim_s=route.target_latency_ms / 1000,
+        max_attempts=route.max_attempts,
+        priority=priority_of(route, exchange.tenant),
+        affinity=route.session_affinity,
+        prompt=request.prompt,
+        tokens_in=tokens_in,
+        tokens_out=tokens_out,
+    )
--- a/roselink/dataplane/engine.py
+++ b/roselink/dataplane/engine.py
@@ -14,13 +14,22 @@
 from collections import Counter, deque
 from functools import partial
 
+from roselink.dataplane.admission import (
+    NOT_CONFIRMED_RETRY_S,
+    Admitted,
+    Refusal,
+    allowed_s,
+    amount_of,
+    facts_of,
+    give_up_at,
+    judge,
+)
 from roselink.dataplane.exchange import AnswerMode, AttemptAnswer, ClientAnswer, Exchange
 from roselink.dataplane.interfaces import Authority, Decisions, Quotas, SharedBudget
-from roselink.dataplane.requests import ProxyRequest, attempt_head, host_head, priority_of
-from roselink.dataplane.routes import RouteEntry, RouteTable
+from roselink.dataplane.requests import ProxyRequest, attempt_head, host_head
+from roselink.dataplane.routes import RouteTable
+from roselink.dataplane.topology import HostDirectory
 from roselink.dataplane.upstream import FleetAttempt, FleetHost, FleetUpstream
-from roselink.model.configuration import Tenant
-from roselink.model.fleet import HostState, Snapshot
 from roselink.routing.decisions import (
     Action,
     AskSharedBudget,
@@ -33,7 +42,6 @@
     GiveUp,
     RequestArrived,
     RequestClosed,
-    RequestFacts,
     SendAttempt,
     StartTimer,
     TimerFired,
@@ -43,15 +51,8 @@
 
 log = logging.getLogger("roselink.dataplane")
 
-DEFAULT_DEADLINE_S = 30.0
-# Before the client's deadline by this much the last word is said: room for the way to the client.
-MARGIN_S = 0.030
-MARGIN_PART = 0.25  # of the time that a client in a hurry gives: the margin shrinks to fit into that
 STREAM_OVER_S = 0.1  # a running stream ends so long after its deadline
 HOST_MARGIN_MS = 5  # hosts are told so much less: what they say at their deadline is still passed on
-NOT_CONFIRMED_RETRY_S = 0.25  # configuration, keys or places are missing here: other gateways have them
-CONNECTIONS_LEAST = 4  # to each host
-ROSTER_GUESS = 6  # gateways, where the roster is not known
 
 
 class Engine:
@@ -74,8 +75,10 @@
         self._events: deque[Event] = deque()
         self._busy = False
         self._ends_at: float | None = None  # while draining: when all must have their answer
+        self._topology: TopologyChanged | None = None
         self.table: RouteTable | None = None
-        self.hosts: dict[str, FleetHost] = {}
+        self.directory = HostDirectory(upstream)
+        self.hosts = self.directory.hosts
         self.open: dict[int, Exchange] = {}
         self.counts: Counter[str] = Counter()
 
@@ -89,78 +92,43 @@
             return
         if self.table is None or self.table.configuration is not snapshot.configuration:
             self.table = RouteTable(snapshot.configuration)
-        self._events.append(TopologyChanged(snapshot.hosts, snapshot.configuration.services))
+        told = TopologyChanged(snapshot.hosts, snapshot.configuration.services)
+        if told != self._topology:
+            self._topology = told
+            self._events.append(told)
         busy, self._busy = self._busy, True
         try:
-            self._update_hosts(snapshot)
+            self.directory.update(snapshot)
         finally:
             self._busy = busy
         if not busy:
             self._run()
 
-    def _update_hosts(self, snapshot: Snapshot) -> None:
-        gateways = len(snapshot.roster) or ROSTER_GUESS
-        limits = {service.name: service.max_connections for service in snapshot.configuration.services}
-        told = {host.id: host for host in snapshot.hosts}
-        for name, host in list(self.hosts.items()):
-            line = told.get(name)
-            if line is None or _address(line.address) != host.address or line.service != host.service:
-                del self.hosts[name]
-                self._upstream.retire(host)
-        for name, line in told.items():
-            most = max(CONNECTIONS_LEAST, limits.get(line.service, 0) // gateways)
-            current = self.hosts.get(name)
-            if current is None:
-                current = self.hosts[name] = FleetHost(name, line.service, _address(line.address), most)
-            current.most = most
-            if line.state is HostState.READY:
-                current.ready = True
-            elif current.ready:
-                self._upstream.retire(current)
-
     # From the client side.
 
     def accept(self, request: ProxyRequest, client: ClientAnswer) -> Exchange | None:
         """Take a request; None if it is answered already. The client gets one answer, unless it leaves."""
         self.counts["requests"] += 1
-        table, usable = self.table, self._authority.may_use_keys()
-        entry = table.find(request.host, request.path) if table is not None else None
-        if table is None or (entry is None and not usable):
-            self._refuse(client, 503, NOT_CONFIRMED_RETRY_S)
+        verdict = judge(self.table, self._authority.may_use_keys(), request)
+        if isinstance(verdict, Refusal):
+            self._refuse(client, *verdict)
             return None
-        if entry is None:
-            self._refuse(client, 404)
-            return None
-        tenant = None
-        if table.keyed and not entry.route.public:
-            if not usable:
-                self._refuse(client, 503, NOT_CONFIRMED_RETRY_S)
-                return None
-            tenant = table.tenant(request.key)
-            if tenant is None:
-                self._refuse(client, 401)
-                return None
-        return self._open(request, entry, tenant, client)
+        return self._open(request, verdict, client)
 
     def _refuse(self, client: ClientAnswer, status: int, retry_after_s: float | None = None) -> None:
         self.counts[f"refused_{status}"] += 1
         client.own(status, retry_after_s)
 
-    def _open(
-        self, request: ProxyRequest, entry: RouteEntry, tenant: Tenant | None, client: ClientAnswer
-    ) -> Exchange | None:
-        route, now = entry.route, self._loop.time()
-        allowed_s = DEFAULT_DEADLINE_S if request.deadline_s is None else request.deadline_s
-        if route.timeout_ms > 0:
-            allowed_s = min(allowed_s, route.timeout_ms / 1000)
+    def _open(self, request: ProxyRequest, admitted: Admitted, client: ClientAnswer) -> Exchange | None:
+        entry, tenant = admitted
+        route = entry.route
         exchange = Exchange(request, route, tenant, host_head(request, route, tenant), client)
         exchange.number, exchange.service = next(self._numbers), entry.draw(self._random)
-        exchange.expires_at = request.since + allowed_s
+        exchange.expires_at = request.since + allowed_s(request, route)
         if self._ends_at is not None:
             exchange.expires_at = min(exchange.expires_at, self._ends_at)
-        margin_s = min(MARGIN_S, MARGIN_PART * max(0.0, exchange.expires_at - request.since))
-        exchange.give_up_at = exchange.expires_at - margin_s
-        if exchange.give_up_at <= now:
+        exchange.give_up_at = give_up_at(request.since, exchange.expires_at)
+        if exchange.give_up_at <= self._loop.time():
             self._refuse(client, 503, 0.0)
             return None
         self.open[exchange.number] = exchange
@@ -168,7 +136,7 @@
         if tenant is None or tenant.rate_per_s <= 0:
             self._admitted(exchange, True, 0.0)
         else:
-            self._quotas.admit(tenant, _amount(request, tenant), partial(self._admitted, exchange))
+            self._quotas.admit(tenant, amount_of(request, tenant), partial(self._admitted, exchange))
         return None if exchange.closed else exchange
 
     def _admitted(self, exchange: Exchange, allowed: bool, retry_after_s: float) -> None:
@@ -177,24 +145,7 @@
         if not allowed:
             self._answer_own(exchange, 429, retry_after_s)
             return
-        request, route = exchange.request, exchange.route
-        tokens_in, tokens_out = request.tokens or (0, 0)
-        exchange.facts = RequestFacts(
-            number=exchange.number,
-            route=route.name,
-            service=exchange.service,
-            repeatable=route.repeatable,
-            streaming=exchange.streaming,
-            arrived_at=request.since,
-            give_up_at=exchange.give_up_at,
-            aim_s=route.target_latency_ms / 1000,
-            max_attempts=route.max_attempts,
-            priority=priority_of(route, exchange.tenant),
-            affinity=route.session_affinity,
-            prompt=request.prompt,
-            tokens_in=tokens_in,
-            tokens_out=tokens_out,
-        )
+        exchange.facts = facts_of(exchange)
         self.feed(RequestArrived(exchange.facts))
 
     def depart(self, exchange: Exchange) -> None:
@@ -209,7 +160,7 @@
         for exchange in self.open.values():
             if exchange.expires_at > ends_at:
                 exchange.expires_at = ends_at
-                exchange.give_up_at = min(exchange.give_up_at, ends_at - MARGIN_S)
+                exchange.give_up_at = give_up_at(exchange.request.since, ends_at)
                 self._guard_at(exchange, exchange.give_up_at)
 
     # Time.
@@ -371,6 +322,7 @@
         if cut:
             exchange.broken = exchange.can_resume
         self.counts[f"attempt_{outcome.value}"] += 1
+        answer.attempt = None
         self.feed(
             AttemptEnded(
                 exchange.number,
@@ -455,17 +407,6 @@
         for answer in list(exchange.attempts.values()):
             if answer.attempt is not None:
                 answer.attempt.cancel()
+        exchange.owner = None  # nothing is left that refers in circles: no work for the collector
         if not self._busy:
             self._run()
-
-
-def _amount(request: ProxyRequest, tenant: Tenant) -> float:
-    """What a request counts against its tenant's quota."""
-    if tenant.unit != "tokens":
-        return 1.0
-    return float(sum(request.tokens) if request.tokens is not None else tenant.plain_tokens)
-
-
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
--- a/roselink/dataplane/plane.py
+++ b/roselink/dataplane/plane.py
@@ -54,7 +54,7 @@
 
     def ready(self) -> bool:
         """Whether the platform should send clients here."""
-        known = self.engine.table is not None and any(host.ready for host in self.engine.hosts.values())
+        known = self.engine.table is not None and self.engine.directory.any_ready()
         return known and not self.draining and self._authority.may_use_keys()
 
     async def start(self) -> None:
--- a/roselink/dataplane/server.py
+++ b/roselink/dataplane/server.py
@@ -8,7 +8,8 @@
 import struct
 from collections.abc import Callable
 
-from roselink.dataplane.engine import NOT_CONFIRMED_RETRY_S, Engine
+from roselink.dataplane.admission import NOT_CONFIRMED_RETRY_S
+from roselink.dataplane.engine import Engine
 from roselink.dataplane.exchange import Exchange
 from roselink.dataplane.requests import Headers, ProxyRequest, read_request
 from roselink.gateway.config import Descriptors
@@ -30,8 +31,9 @@
         super().__init__(server)
         self._owner = server
         self._exchange: Exchange | None = None
-        self._version = self._next_version = "1.1"
+        self._version = "1.1"
         self._head_only = self._chunked = self._kept = False
+        self._unwritten = b""
 
     def _departed(self) -> None:
         if self._exchange is not None:
@@ -43,6 +45,12 @@
         if self._exchange is not None:
             self._exchange.client_ready()
 
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        asked = any(n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in self._headers)
+        if asked and not (self._serving or self._backlog):
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _read(self, method: bytes, keep: bool) -> Pending:
         assert self._parser is not None
         request = read_request(method, self._url, self._headers, b"".join(self._body), self._read_at)
@@ -85,7 +93,8 @@
     def whole(self, status: int, headers: Headers, body: bytes) -> None:
         """One whole answer."""
         bare = self._head_only or status in BODILESS
-        self._write_head(status, headers, [] if bare else [b"Content-Length: %d" % len(body)], body)
+        head = self._head_of(status, headers, [] if bare else [b"Content-Length: %d" % len(body)])
+        self._write(head if bare else head + body)
         self._end()
 
     def begin(self, status: int, headers: Headers, length: int | None) -> None:
@@ -97,16 +106,17 @@
             framing = [b"Transfer-Encoding: chunked"]
         else:
             framing, self._keep = [], False  # the end of the connection is that of the answer
-        self._write_head(status, headers, framing, b"")
+        self._unwritten = self._head_of(status, headers, framing)  # goes out with the first part
 
     def part(self, data: bytes) -> None:
         """Bytes of the body, now."""
-        self._write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+        head, self._unwritten = self._unwritten, b""
+        self._write(head + (b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data))
 
     def end(self) -> None:
         """The body is whole."""
-        if self._chunked:
-            self._write(b"0\r\n\r\n")
+        head, self._unwritten = self._unwritten, b""
+        self._write(head + (b"0\r\n\r\n" if self._chunked else b""))
         self._end()
 
     def cut(self) -> None:
@@ -121,13 +131,13 @@
         """Whether parts pile up, as the client does not take them."""
         return self._unread
 
-    def _write_head(self, status: int, headers: Headers, framing: list[bytes], body: bytes) -> None:
+    def _head_of(self, status: int, headers: Headers, framing: list[bytes]) -> bytes:
         self._kept = self._may_keep()
         lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b""))]
         lines += [b"%b: %b" % header for header in headers]
         lines += framing
         lines.append(b"Connection: keep-alive" if self._kept else b"Connection: close")
-        self._write(b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if self._head_only else body))
+        return b"\r\n".join(lines) + b"\r\n\r\n"
 
     def _end(self) -> None:
         self._exchange = None
--- a/roselink/dataplane/upstream.py
+++ b/roselink/dataplane/upstream.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Protocol
 
 import httptools
@@ -108,7 +109,8 @@
             (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         ):
-            sock.setsockopt(level, option, value)
+            with suppress(OSError):  # what a machine does not know: deadlines still hold
+                sock.setsockopt(level, option, value)
 
     def send(self, attempt: Attempt, request: bytes) -> None:
         assert isinstance(attempt, FleetAttempt)
