--- a/roselink/cli.py
+++ b/roselink/cli.py
@@ -10,7 +10,7 @@
 import sys
 from pathlib import Path
 
-import defopt
+import defopt  # type: ignore[import-untyped]
 
 from roselink.control.checking import Refused, check_document
 from roselink.model.settings import SettingsError, read_settings
--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -59,7 +59,7 @@
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     reactor = install_reactor(loop)
-    from roselink.control.logs import start_logs  # noqa: PLC0415 - after the reactor
+    from roselink.control.logs import start_logs
 
     start_logs(settings.node_name)
     process = CoreProcess(settings, loop, reactor, _make_node)
@@ -72,10 +72,10 @@
 def install_reactor(loop: asyncio.AbstractEventLoop) -> Any:
     """Put Twisted on the event loop and return its reactor. No TLS is spoken: its libraries stay unloaded."""
     sys.modules.setdefault("OpenSSL", None)  # type: ignore[arg-type]
-    from twisted.internet import asyncioreactor  # noqa: PLC0415 - the first import of Twisted
+    from twisted.internet import asyncioreactor
 
     asyncioreactor.install(loop)  # type: ignore[no-untyped-call]
-    from twisted.internet import reactor  # noqa: PLC0415 - the one just installed
+    from twisted.internet import reactor
 
     return reactor
 
@@ -96,7 +96,7 @@
         reactor: Any,
         make_node: Callable[[ProcessSettings, PeerPool], CoreNode],
     ) -> None:
-        import structlog  # noqa: PLC0415 - after the logs are set up
+        import structlog
 
         self._settings, self._loop, self._reactor, self._make_node = settings, loop, reactor, make_node
         self._log = structlog.get_logger("roselink.core")
@@ -146,7 +146,7 @@
             self._reactor.stop()
 
     async def _start(self) -> None:
-        from roselink.control.api import AdminApi  # noqa: PLC0415 - needs the reactor
+        from roselink.control.api import AdminApi
 
         settings = self._settings
         self._node = node = self._make_node(settings, self._pool)
@@ -156,7 +156,7 @@
         await node.start()
         self._pulls.start()
         if settings.platform is not None:
-            from roselink.control.platform_client import PlatformClient  # noqa: PLC0415 - needs the reactor
+            from roselink.control.platform_client import PlatformClient
 
             self._client = PlatformClient(self._reactor, settings.platform, self._pulls.hosts_listed)
             node.on_view(self._role_changed)
