--- a/roselink/__main__.py
+++ b/roselink/__main__.py
@@ -1,8 +1,8 @@
 """The command line: `python3 -m roselink COMMAND`.
 
 `router` and `controller` are the two long-running programs and take no options: what they need stands in the
-settings file that ROSELINK_BOOT names. They are dispatched before anything else is imported, since each import
-is time in which a restarted process doesn't serve. All other commands are in `roselink.cli`.
+settings file that ROSELINK_BOOT names. They are dispatched before anything else is imported: each import is
+time in which a restarted process doesn't serve. All other commands are in `roselink.cli`.
 """
 
 from __future__ import annotations
--- a/roselink/router/app.py
+++ b/roselink/router/app.py
@@ -34,7 +34,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a gateway that can reload, it would kill
     path = os.environ.get(ENVIRONMENT_VARIABLE, DEFAULT_PATH)
     make_decider = importlib.import_module("roselink.routing.fleet").FleetDecider
-    make_data_plane = importlib.import_module("roselink.dataplane").DataPlane
+    make_data_plane = importlib.import_module("roselink.dataplane.plane").DataPlane
     try:
         uvloop.run(serve(settings, path, make_decider, make_data_plane))
     except OSError as error:
