--- a/roselink/dataplane/interfaces.py
+++ b/roselink/dataplane/interfaces.py
@@ -28,8 +28,8 @@
         """Whether the keys of the snapshot are confirmed to be still held."""
         ...
 
-    def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call `callback` behind each new snapshot."""
+    def subscribe(self, callback: Callable[[Snapshot], None]) -> None:
+        """Call `callback` with the snapshot in force, if any, and with each new one."""
         ...
 
 
--- a/roselink/dataplane/plane.py
+++ b/roselink/dataplane/plane.py
@@ -12,6 +12,7 @@
 from roselink.dataplane.upstream import FleetUpstream
 from roselink.gateway.config import Descriptors
 from roselink.gateway.connections import HttpServer
+from roselink.model.fleet import Snapshot
 from roselink.model.settings import ProcessSettings
 
 log = logging.getLogger("roselink.dataplane")
@@ -60,7 +61,6 @@
     async def start(self) -> None:
         """Listen; raises `OSError` when an address can't be bound."""
         self._authority.subscribe(self._refresh)
-        self._refresh()
         self.port = await self._listen(self.server, "http")
         self.readiness_port = await self._listen(self.readiness, "readiness")
         self._swept_at = self._loop.time()
@@ -70,7 +70,7 @@
         address = self._settings.bind.get(name)
         return 0 if address is None else await server.listen(*address)
 
-    def _refresh(self) -> None:
+    def _refresh(self, snapshot: Snapshot) -> None:
         self.engine.refresh()
         if self.engine.table is not None:
             self.server.limit(self.engine.table.configuration.limits)
--- a/tests/dataplane/stage.py
+++ b/tests/dataplane/stage.py
@@ -130,7 +130,7 @@
 class FakeAuthority:
     def __init__(self, snapshot: Snapshot | None = None) -> None:
         self.now_in_force, self.fresh = snapshot, True
-        self.callbacks: list[Callable[[], None]] = []
+        self.callbacks: list[Callable[[Snapshot], None]] = []
 
     def snapshot(self) -> Snapshot | None:
         return self.now_in_force
@@ -138,13 +138,15 @@
     def may_use_keys(self) -> bool:
         return self.fresh
 
-    def subscribe(self, callback: Callable[[], None]) -> None:
+    def subscribe(self, callback: Callable[[Snapshot], None]) -> None:
         self.callbacks.append(callback)
+        if self.now_in_force is not None:
+            callback(self.now_in_force)
 
     def tell(self, snapshot: Snapshot) -> None:
         self.now_in_force = snapshot
         for callback in self.callbacks:
-            callback()
+            callback(snapshot)
 
 
 @dataclass
