Control plane: chain replication of the configuration history under agreed views

Members, votes, plans of views, chain, confirmed reads and orders are machines without I/O; node.py drives them on asyncio with one disk thread over dbm.dumb generations.

--- /dev/null
+++ b/roselink/control/node.py
@@ -0,0 +1,254 @@
+"""The asyncio driver of one core member: its clock, its peers' connections, and its disk's worker thread."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import queue
+import secrets
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from roselink.control.effects import (
+    Confirmation,
+    Effect,
+    Persist,
+    ReadDone,
+    Send,
+    Store,
+    SubmitDone,
+    SubmitOutcome,
+    Unsettled,
+    ViewChanged,
+)
+from roselink.control.member import HANDLED, TICK_S, Member, Start
+from roselink.control.storage import Storage, record_number
+from roselink.model.settings import ProcessSettings
+from roselink.protocol.chain import ConfigurationOrder, StoredState, Votes
+from roselink.protocol.peers import Address, PeerPool, Reply
+
+log = logging.getLogger("roselink.control")
+
+LEAVE_S = 1.0
+_LEAVE_STEP_S = 0.02
+_SESSION_BITS = 61
+
+Loaded = tuple[Votes | None, StoredState | None]
+Job = Callable[[], None] | None
+
+
+class ControlNode:
+    """One core member on real sockets and a real disk. All methods are for the loop's own thread."""
+
+    def __init__(self, settings: ProcessSettings, pool: PeerPool, loop: asyncio.AbstractEventLoop) -> None:
+        if settings.data_dir is None:
+            raise ValueError("data_dir: a core member needs a disk")
+        self._settings, self._pool, self._loop = settings, pool, loop
+        self._storage = Storage(settings.data_dir)
+        self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
+        self._member: Member | None = None
+        self._running = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._submits: dict[int, Callable[[SubmitOutcome], None]] = {}
+        self._reads: dict[int, Callable[[Confirmation | None], None]] = {}
+        self._watchers: list[Callable[[], None]] = []
+
+    # --- life
+
+    def start(self) -> None:
+        """Read the disk, then take part. Calls that come before end without a promise."""
+        self._running = True
+        threading.Thread(target=self._work, name="disk", daemon=True).start()
+        self._jobs.put(self._load)
+
+    async def stop(self) -> None:
+        """Leave the chain if that is soon done, and end."""
+        if self._member is not None and self._running:
+            ends_at = self._loop.time() + LEAVE_S
+            self._perform(self._member.leave(self._loop.time()))
+            while not self._member.left and self._loop.time() < ends_at:
+                await asyncio.sleep(_LEAVE_STEP_S)
+        self.halt()
+
+    def halt(self) -> None:
+        """End at once; open calls get no promise."""
+        self._running = False
+        self._jobs.put(None)
+        if self._timer is not None:
+            self._timer.cancel()
+        submits, self._submits = self._submits, {}
+        reads, self._reads = self._reads, {}
+        for submitted in submits.values():
+            submitted(Unsettled())
+        for asked in reads.values():
+            asked(None)
+
+    # --- calls
+
+    def handle(self, peer: Address, message: object, reply: Reply) -> bool:
+        """Take a record from a peer; False if it is none of the chain's."""
+        if type(message) not in HANDLED:
+            return False
+        if self._member is not None and self._running:
+            self._perform(self._member.receive(message, self._loop.time()))
+        return True
+
+    def submit(self, order: ConfigurationOrder, done: Callable[[SubmitOutcome], None]) -> None:
+        """Carry an order to the chain's head; `done` gets one outcome within 2.5 s or so."""
+        if self._member is None or not self._running:
+            done(Unsettled())
+            return
+        number, effects = self._member.submit(order, self._loop.time())
+        self._submits[number] = done
+        self._perform(effects)
+
+    def confirm(self, done: Callable[[Confirmation | None], None]) -> None:
+        """Read the committed state, confirmed after this call; None if that can't be had in 1.5 s or so."""
+        if self._member is None or not self._running:
+            done(None)
+            return
+        number, effects = self._member.read(self._loop.time())
+        self._reads[number] = done
+        self._perform(effects)
+
+    def seeds_changed(self, settings: ProcessSettings) -> None:
+        """The settings file names other seeds."""
+        self._settings = settings
+        if self._member is not None:
+            self._member.seeds_changed(_seeds(settings))
+
+    def on_view(self, watcher: Callable[[], None]) -> None:
+        """Have `watcher` called when the view changes or its chain becomes active."""
+        self._watchers.append(watcher)
+
+    # --- what is known
+
+    @property
+    def is_tail(self) -> bool:
+        """Whether this member is the tail of an active view, as far as it knows."""
+        return self._member is not None and self._running and self._member.chain.is_tail
+
+    @property
+    def tail(self) -> Address | None:
+        """The peer address of the newest known view's tail."""
+        view = self._member.view if self._member is not None else None
+        return None if view is None else _address(view.chain[-1].voter.address)
+
+    @property
+    def epoch(self) -> int:
+        """The newest known view's epoch; 0 before the first."""
+        view = self._member.view if self._member is not None else None
+        return 0 if view is None else view.epoch
+
+    def core_addresses(self) -> tuple[str, ...]:
+        """The peer addresses of the present voters."""
+        view = self._member.view if self._member is not None else None
+        return () if view is None else tuple(voter.address for voter in view.voters)
+
+    @property
+    def disk_ok(self) -> bool:
+        """Whether the disk took the last saves in time."""
+        return self._member is not None and self._member.disk_fit
+
+    # --- effects
+
+    def _perform(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._pool.notify(_address(effect.to), effect.message)
+            elif isinstance(effect, Persist):
+                self._save(effect)
+            elif isinstance(effect, SubmitDone):
+                submitted = self._submits.pop(effect.number, None)
+                if submitted is not None:
+                    submitted(effect.outcome)
+            elif isinstance(effect, ReadDone):
+                asked = self._reads.pop(effect.number, None)
+                if asked is not None:
+                    asked(effect.confirmation)
+            elif isinstance(effect, ViewChanged):
+                for watcher in self._watchers:
+                    watcher()
+
+    def _tick(self) -> None:
+        if self._member is None or not self._running:
+            return
+        self._perform(self._member.tick(self._loop.time()))
+        self._timer = self._loop.call_later(TICK_S, self._tick)
+
+    # --- the disk's worker thread
+
+    def _work(self) -> None:
+        while (job := self._jobs.get()) is not None:
+            job()
+
+    def _hand_back(self, step: Callable[..., None], *values: Any) -> None:
+        """Have the loop's thread take a result; the loop may have ended."""
+        try:
+            self._loop.call_soon_threadsafe(step, *values)
+        except RuntimeError:
+            log.info("the loop has ended before the disk")
+
+    def _load(self) -> None:
+        """In the worker: read the disk; it is asked again until it answers."""
+        try:
+            loaded = self._storage.load()
+        except OSError as error:
+            log.warning("disk: %s", error)
+            self._hand_back(self._load_later)
+            return
+        self._hand_back(self._loaded, loaded)
+
+    def _load_later(self) -> None:
+        if self._running:
+            self._loop.call_later(0.2, self._jobs.put, self._load)
+
+    def _loaded(self, loaded: Loaded) -> None:
+        if not self._running:
+            return
+        settings = self._settings
+        start = Start(
+            address=f"{settings.ip}:{settings.peer_port}",
+            seeds=_seeds(settings),
+            bootstrap=settings.bootstrap,
+            tolerated=settings.tolerated_nodes,
+            session=secrets.randbits(_SESSION_BITS) + 1,
+            fresh_incarnation=secrets.randbits(_SESSION_BITS) + 1,
+            votes=loaded[0],
+            state=loaded[1],
+        )
+        now = self._loop.time()
+        self._member = Member(start, now)
+        self._perform(self._member.begin(now))
+        self._tick()
+
+    def _save(self, effect: Persist) -> None:
+        def job() -> None:
+            try:
+                self._storage.save(effect.store, record_number(effect.store), effect.payload)
+            except OSError as error:
+                log.warning("disk: %s", error)
+                self._hand_back(self._saved, effect.store, False)
+            else:
+                self._hand_back(self._saved, effect.store, True)
+
+        self._jobs.put(job)
+
+    def _saved(self, store: Store, well: bool) -> None:
+        if self._member is None or not self._running:
+            return
+        now = self._loop.time()
+        if well:
+            self._perform(self._member.persisted(store, now))
+        else:
+            self._perform(self._member.persist_failed(store, now))
+
+
+def _seeds(settings: ProcessSettings) -> tuple[str, ...]:
+    return tuple(f"{host}:{port}" for host, port in settings.seed_peers())
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/roselink/control/peering.py
@@ -0,0 +1,152 @@
+"""What a member knows of the other core machines from their heartbeats, and its own disk's health. No I/O.
+
+Times are seconds of the member's own clock. A machine is live while its heartbeats come and say that it hears
+this one: a link that carries one way only counts as broken on both ends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from roselink.control.views import Peer
+from roselink.protocol.chain import Heartbeat, Voter
+
+SILENT_S = 0.45  # a machine that said nothing for so long is suspected
+STEADY_S = 0.3  # a machine that has been live and well for so long may join a chain
+FORGET_S = 10.0  # a machine outside the view that said nothing for so long is no contact any more
+START_GRACE_S = 1.5  # after the start of a whole new system, machines may be slow to come up
+DISK_STUCK_S = 0.3  # a save that takes longer makes the disk unfit
+DISK_WELL_S = 0.2  # a save that takes no longer makes it fit again
+
+
+@dataclass(slots=True)
+class _Known:
+    heartbeat: Heartbeat
+    heard_at: float
+    well_since: float | None = None
+
+
+@dataclass(slots=True)
+class Peers:
+    """The other machines by address."""
+
+    own: Voter
+    _known: dict[str, _Known] = field(default_factory=dict)
+    _grace_until: float = 0.0
+
+    def grace(self, now: float) -> None:
+        """Count no machine as silent for a while: none may be up yet."""
+        self._grace_until = now + START_GRACE_S
+
+    def skip(self, seconds: float) -> None:
+        """This process did not run for so long: silence in that time says nothing about others."""
+        for known in self._known.values():
+            known.heard_at += seconds
+
+    def hear(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take a heartbeat."""
+        address = heartbeat.sender.address
+        known = self._known.get(address)
+        if known is None or known.heartbeat.session != heartbeat.session:
+            known = self._known[address] = _Known(heartbeat, now)
+        known.heartbeat, known.heard_at = heartbeat, now
+        well = self._live(known, now) and heartbeat.disk_ok and not heartbeat.leaving
+        if not well:
+            known.well_since = None
+        elif known.well_since is None:
+            known.well_since = now
+
+    def heard(self, now: float) -> tuple[str, ...]:
+        """The addresses from which something came of late."""
+        return tuple(sorted(a for a, known in self._known.items() if now - known.heard_at < SILENT_S))
+
+    def contacts(self, now: float) -> tuple[str, ...]:
+        """The addresses of machines that spoke in the last seconds."""
+        return tuple(a for a, known in self._known.items() if now - known.heard_at < FORGET_S)
+
+    def settled(self, now: float, epoch: int) -> bool:
+        """Whether a live member of the epoch's chain finds that chain whole."""
+        return any(
+            known.heartbeat.settled and known.heartbeat.epoch == epoch and self._live(known, now)
+            for known in self._known.values()
+        )
+
+    def picture(self, now: float, own: Peer, expected: Iterable[str]) -> dict[str, Peer]:
+        """Every known machine as a plan needs it. `expected`: those that get the grace of a new system."""
+        live = [known for known in self._known.values() if self._live(known, now)]
+        elsewhere = {address for known in live for address in known.heartbeat.heard}
+        pictured = {own.voter.address: own}
+        for address, known in self._known.items():
+            silent_s = 0.0 if address in elsewhere else now - known.heard_at
+            pictured[address] = self._picture(known, now, silent_s)
+        if now < self._grace_until:
+            for address in expected:
+                if address not in pictured:
+                    pictured[address] = _awaited(address, own)
+        return pictured
+
+    def _picture(self, known: _Known, now: float, silent_s: float) -> Peer:
+        said = known.heartbeat
+        return Peer(
+            voter=said.sender,
+            session=said.session,
+            epoch=said.epoch,
+            state_epoch=said.state_epoch,
+            taking_part=said.taking_part,
+            disk_ok=said.disk_ok,
+            leaving=said.leaving,
+            live=self._live(known, now),
+            steady=known.well_since is not None and now - known.well_since >= STEADY_S,
+            silent_s=silent_s,
+            heard=frozenset(said.heard),
+        )
+
+    def _live(self, known: _Known, now: float) -> bool:
+        return now - known.heard_at < SILENT_S and self.own.address in known.heartbeat.heard
+
+
+def _awaited(address: str, own: Peer) -> Peer:
+    """A machine that may be starting: taken as well, and as hearing everybody."""
+    return Peer(
+        Voter(address, 0), 0, 0, 1, False, True, False, True, True, 0.0, own.heard | {own.voter.address}
+    )
+
+
+@dataclass(slots=True)
+class DiskHealth:
+    """Whether this machine's disk takes saves, judged by those that were asked of it."""
+
+    fit: bool = True
+    refusing: bool = False
+    _began: list[float] = field(default_factory=list)
+
+    def began(self, now: float) -> None:
+        """A save was asked for."""
+        self._began.append(now)
+
+    def ended(self, now: float, well: bool) -> None:
+        """The oldest save has ended."""
+        began = self._began.pop(0)
+        if self._began:
+            self._began[0] = max(self._began[0], now)
+        self.refusing = not well
+        if not well or now - began > DISK_STUCK_S:
+            self.fit = False
+        elif now - began <= DISK_WELL_S:
+            self.fit = True
+
+    def check(self, now: float) -> bool:
+        """Whether the disk is fit now."""
+        if self._began and now - self._began[0] > DISK_STUCK_S:
+            self.fit = False
+        return self.fit
+
+    @property
+    def idle(self) -> bool:
+        """Whether no save is under way."""
+        return not self._began
+
+    def skip(self, seconds: float) -> None:
+        """This process did not run for so long."""
+        self._began = [at + seconds for at in self._began]
--- /dev/null
+++ b/roselink/control/state.py
@@ -0,0 +1,99 @@
+"""The replicated configuration state and the rules by which an order changes it. Pure functions of values.
+
+The history holds the newest orders as packed entries of digest, generation and sequence. An entry of
+generation 0 is an order that was refused although a later state might have let it in; it stays refused.
+
+>>> first = ConfigurationOrder(0, 5, b"{}", digest_of(0, b"{}"))
+>>> judge(EMPTY, first)
+Verdict(kind=<Judgement.APPEND: 1>, value=1)
+>>> state = apply(EMPTY, first, refused=False)
+>>> judge(state, first)
+Verdict(kind=<Judgement.TAKEN: 2>, value=1)
+>>> judge(state, ConfigurationOrder(0, 6, b"[]", digest_of(0, b"[]")))
+Verdict(kind=<Judgement.CONFLICT: 4>, value=5)
+"""
+
+from __future__ import annotations
+
+import hashlib
+import struct
+from dataclasses import dataclass
+from enum import Enum
+
+from roselink.protocol.chain import ConfigurationOrder, ConfigurationState
+
+HISTORY_LIMIT = 10_000  # orders whose digests are kept
+DIGEST_BYTES = 32
+EMPTY = ConfigurationState(0, 0, b"", b"")
+
+_ENTRY = struct.Struct(f"!{DIGEST_BYTES}sqq")
+
+
+class Judgement(Enum):
+    """What the head does with an order."""
+
+    APPEND = 1
+    TAKEN = 2
+    NOT_NEWER = 3
+    CONFLICT = 4
+    REFUSE_FOR_GOOD = 5  # a later state might let it in: note the refusal first
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """A judgement; `value` is the sequence of the write, or the generation that is current."""
+
+    kind: Judgement
+    value: int
+
+
+def digest_of(base: int, document: bytes) -> bytes:
+    """The name of the order with this base and document."""
+    return hashlib.sha256(struct.pack("!q", base) + document).digest()
+
+
+def judge(state: ConfigurationState, order: ConfigurationOrder) -> Verdict:
+    """What becomes of an order on top of `state`.
+
+    Each refusal stays true in every state that follows: generations only rise.
+    """
+    entry = find(state, order.digest)
+    if entry is not None:
+        generation, sequence = entry
+        if generation:
+            return Verdict(Judgement.TAKEN, sequence)
+        return Verdict(Judgement.CONFLICT, state.generation)
+    if order.generation <= state.generation:
+        return Verdict(Judgement.NOT_NEWER, state.generation)
+    if order.base < state.generation:
+        return Verdict(Judgement.CONFLICT, state.generation)
+    if order.base > state.generation:
+        return Verdict(Judgement.REFUSE_FOR_GOOD, state.generation)
+    return Verdict(Judgement.APPEND, state.sequence + 1)
+
+
+def find(state: ConfigurationState, digest: bytes) -> tuple[int, int] | None:
+    """The (generation, sequence) under which the history holds a digest."""
+    key = _key(digest)
+    at = state.history.find(key)
+    while at >= 0:
+        if at % _ENTRY.size == 0:
+            _, generation, sequence = _ENTRY.unpack_from(state.history, at)
+            return generation, sequence
+        at = state.history.find(key, at + 1)
+    return None
+
+
+def apply(state: ConfigurationState, order: ConfigurationOrder, refused: bool) -> ConfigurationState:
+    """The state after the order, or after the note that it is refused."""
+    sequence = state.sequence + 1
+    generation = 0 if refused else order.generation
+    entry = _ENTRY.pack(_key(order.digest), generation, sequence)
+    history = (state.history + entry)[-HISTORY_LIMIT * _ENTRY.size :]
+    if refused:
+        return ConfigurationState(sequence, state.generation, state.document, history)
+    return ConfigurationState(sequence, order.generation, order.document, history)
+
+
+def _key(digest: bytes) -> bytes:
+    return digest[:DIGEST_BYTES].ljust(DIGEST_BYTES, b"\0")
--- /dev/null
+++ b/roselink/control/storage.py
@@ -0,0 +1,142 @@
+"""A core member's disk: two records, each as generations of `dbm.dumb` files. Blocking; for one worker
+thread.
+
+`dbm.dumb` rewrites its index in place and syncs nothing. Here a database holds one record and is never
+changed: a save makes the files of the next number, syncs both and the folder, and only then removes those
+before. A record carries its number and a checksum; the newest generation whose record is whole counts, so a
+save that was broken off anywhere leaves the record before it. At most two generations of a record are on the
+disk, and what a refused save left goes before the next.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dbm.dumb
+import hashlib
+import os
+import struct
+from dataclasses import dataclass, field
+
+from roselink.control.effects import Store
+from roselink.protocol.chain import StoredState, Votes
+from roselink.protocol.records import RecordError, decode, encode, number_of
+
+_KEY = b"record"
+_HEAD = struct.Struct("!QH16s")  # number of the generation, number of the record, checksum
+_PARTS = (".dat", ".dir", ".bak")
+
+
+class _Files(dbm.dumb._Database):
+    """`dbm.dumb` without setting file modes, which a machine's disk may not offer."""
+
+    def _chmod(self, file: object) -> None:
+        """The process's own mode stands."""
+
+
+@dataclass(slots=True)
+class Storage:
+    """The records in one folder. Methods raise OSError when the disk refuses."""
+
+    folder: str
+    _newest: dict[Store, int] = field(default_factory=dict)
+
+    def load(self) -> tuple[Votes | None, StoredState | None]:
+        """What the disk holds; both are None unless both are whole."""
+        os.makedirs(self.folder, exist_ok=True)
+        votes, state = self._load(Store.VOTES), self._load(Store.STATE)
+        if isinstance(votes, Votes) and isinstance(state, StoredState):
+            return votes, state
+        return None, None
+
+    def save(self, store: Store, record: int, payload: bytes) -> None:
+        """Make a record durable: after a return it outlives a loss of power."""
+        number = self._newest.get(store, 0) + 1
+        self._newest[store] = number
+        base = self._base(store, number)
+        try:
+            self._write(base, number, record, payload)
+        except OSError:
+            self._remove(base)
+            raise
+        for older in self._numbers(store):
+            if older < number:
+                self._remove(self._base(store, older))
+
+    def _write(self, base: str, number: int, record: int, payload: bytes) -> None:
+        self._fill(base, _HEAD.pack(number, record, _checksum(number, record, payload)) + payload)
+        for part in (".dat", ".dir"):
+            _sync(base + part)
+        _sync(self.folder)
+
+    def _fill(self, base: str, value: bytes) -> None:
+        files = _Files(base, 0o600, "n")
+        try:
+            files[_KEY] = value
+        finally:
+            files.close()
+        with contextlib.suppress(FileNotFoundError):
+            os.remove(base + ".bak")
+
+    def _load(self, store: Store) -> object:
+        numbers = self._numbers(store)
+        self._newest[store] = max(numbers, default=0)
+        for number in sorted(numbers, reverse=True):
+            record = self._read(store, number)
+            if record is not None:
+                return record
+        return None
+
+    def _read(self, store: Store, number: int) -> object:
+        """The record of one generation, or None when it isn't whole."""
+        try:
+            files = _Files(self._base(store, number), 0o600, "r")
+            try:
+                value = files[_KEY]
+            finally:
+                files.close()
+            said, record, checksum = _HEAD.unpack_from(value)
+            payload = value[_HEAD.size :]
+            if said != number or checksum != _checksum(number, record, payload):
+                return None
+            return decode(record, payload)  # type: ignore[no-any-return]
+        except (OSError, KeyError, ValueError, SyntaxError, TypeError, struct.error, RecordError):
+            return None
+
+    def _numbers(self, store: Store) -> list[int]:
+        """The numbers of all generations that have any file, whole or not."""
+        numbers = set()
+        for name in os.listdir(self.folder):
+            stem, part = os.path.splitext(name)
+            kind, dash, number = stem.rpartition("-")
+            if dash and kind == store.value and part in _PARTS and number.isdigit():
+                numbers.add(int(number))
+        return sorted(numbers)
+
+    def _base(self, store: Store, number: int) -> str:
+        return os.path.join(self.folder, f"{store.value}-{number:012d}")
+
+    def _remove(self, base: str) -> None:
+        for part in _PARTS:
+            with contextlib.suppress(OSError):
+                os.remove(base + part)
+
+
+def record_number(store: Store) -> int:
+    """The number of the record that a store holds."""
+    return {Store.VOTES: 33, Store.STATE: 36}[store]
+
+
+def _checksum(number: int, record: int, payload: bytes) -> bytes:
+    head = struct.pack("!QH", number, record)
+    return hashlib.blake2b(head + payload, digest_size=16).digest()
+
+
+def _sync(path: str) -> None:
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+__all__ = ["Storage", "encode", "number_of", "record_number"]
--- /dev/null
+++ b/tests/control/test_node.py
@@ -0,0 +1,123 @@
+"""Three core members on real sockets of this machine, with folders as disks."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from roselink.control.effects import Confirmation, Conflict, SubmitOutcome, TakenOrder
+from roselink.control.node import ControlNode
+from roselink.control.state import digest_of
+from roselink.model.settings import ProcessSettings, read_settings
+from roselink.protocol.chain import ConfigurationOrder
+from roselink.protocol.peers import Address, PeerPool, PeerServer, Reply
+
+HOSTS = ("127.0.31.1", "127.0.31.2", "127.0.31.3")
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.create_server((HOSTS[0], 0)) as bound:
+        return int(bound.getsockname()[1])
+
+
+def settings_of(host: str, port: int, folder: Path, bootstrap: bool) -> ProcessSettings:
+    return read_settings(
+        {
+            "node_name": host,
+            "ip": host,
+            "bind": {},
+            "port_range": [port, port],
+            "seeds": [f"{seed}:1" for seed in HOSTS],
+            "bootstrap": bootstrap,
+            "limits": {},
+            "data_dir": str(folder),
+            "fault_tolerance": {"nodes": 1},
+        }
+    )
+
+
+class Process:
+    """What a core process has of it: a server, a pool and the node."""
+
+    def __init__(self, host: str, port: int, folder: Path, bootstrap: bool = True) -> None:
+        self.host, self.port = host, port
+        self.pool = PeerPool(self._handle)
+        self.server = PeerServer(self._handle)
+        settings = settings_of(host, port, folder, bootstrap)
+        self.node = ControlNode(settings, self.pool, asyncio.get_running_loop())
+
+    def _handle(self, peer: Address, message: object, reply: Reply) -> None:
+        assert self.node.handle(peer, message, reply)
+
+    async def begin(self) -> None:
+        await self.server.listen(self.host, self.port)
+        self.node.start()
+
+    def kill(self) -> None:
+        self.node.halt()
+        self.server.close()
+        self.pool.close()
+
+    async def submit(self, order: ConfigurationOrder) -> SubmitOutcome:
+        ended: asyncio.Future[SubmitOutcome] = asyncio.get_running_loop().create_future()
+        self.node.submit(order, ended.set_result)
+        return await ended
+
+    async def confirm(self) -> Confirmation | None:
+        ended: asyncio.Future[Confirmation | None] = asyncio.get_running_loop().create_future()
+        self.node.confirm(ended.set_result)
+        return await ended
+
+
+def order_on(base: int, generation: int) -> ConfigurationOrder:
+    document = f"{base}-{generation}".encode()
+    return ConfigurationOrder(base, generation, document, digest_of(base, document))
+
+
+async def settled(process: Process, order: ConfigurationOrder) -> SubmitOutcome:
+    """As the operator does: again until there is a clear answer."""
+    async with asyncio.timeout(10):
+        while True:
+            outcome = await process.submit(order)
+            if isinstance(outcome, TakenOrder | Conflict):
+                return outcome
+            await asyncio.sleep(0.01)
+
+
+async def play(folder: Path, planned: bool) -> None:
+    port = free_port()
+    folders = {host: folder / host for host in HOSTS}
+    processes = [Process(host, port, folders[host]) for host in HOSTS]
+    views: list[int] = []
+    processes[1].node.on_view(lambda: views.append(processes[1].node.epoch))
+    for process in processes:
+        await process.begin()
+    assert await settled(processes[1], order_on(0, 1)) == TakenOrder(1)
+    assert await settled(processes[2], order_on(0, 2)) == Conflict(1)
+    for process in processes:
+        shown = await process.confirm()
+        assert shown is not None and shown.document == b"0-1"
+    if planned:
+        await processes[0].node.stop()
+    processes[0].kill()
+    assert await settled(processes[2], order_on(1, 5)) == TakenOrder(2)
+    assert processes[1].node.epoch > 1 and views
+    again = Process(HOSTS[0], port, folders[HOSTS[0]], bootstrap=False)
+    await again.begin()
+    async with asyncio.timeout(10):
+        while (shown := await again.confirm()) is None:
+            await asyncio.sleep(0.01)
+    assert (shown.sequence, shown.generation, shown.document) == (2, 5, b"1-5")
+    assert sum(process.node.is_tail for process in (again, *processes[1:])) == 1
+    assert set(again.node.core_addresses()) == {f"{host}:{port}" for host in HOSTS}
+    for process in (again, *processes[1:]):
+        process.kill()
+
+
+@pytest.mark.parametrize("planned", [False, True])
+def test_three_nodes_serve_on_when_the_head_ends(tmp_path: Path, planned: bool) -> None:
+    asyncio.run(play(tmp_path, planned))
