--- a/roselink/control/storage.py
+++ b/roselink/control/storage.py
@@ -5,7 +5,7 @@
 changed: a save makes the files of the next number, syncs both and the folder, and only then removes those
 before. A record carries its number and a checksum; the newest generation whose record is whole counts, so a
 save that was broken off anywhere leaves the record before it. At most two generations of a record are on the
-disk, and what a refused save left goes before the next.
+disk, and what a refused save left is removed.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 
 from roselink.control.effects import Store
 from roselink.protocol.chain import StoredState, Votes
-from roselink.protocol.records import RecordError, decode, encode, number_of
+from roselink.protocol.records import RecordError, decode
 
 _KEY = b"record"
 _HEAD = struct.Struct("!QH16s")  # number of the generation, number of the record, checksum
@@ -69,7 +69,7 @@
         _sync(self.folder)
 
     def _fill(self, base: str, value: bytes) -> None:
-        files = _Files(base, 0o600, "n")
+        files = _Files(base, "", "n")
         try:
             files[_KEY] = value
         finally:
@@ -89,7 +89,7 @@
     def _read(self, store: Store, number: int) -> object:
         """The record of one generation, or None when it isn't whole."""
         try:
-            files = _Files(self._base(store, number), 0o600, "r")
+            files = _Files(self._base(store, number), "", "r")
             try:
                 value = files[_KEY]
             finally:
@@ -98,7 +98,7 @@
             payload = value[_HEAD.size :]
             if said != number or checksum != _checksum(number, record, payload):
                 return None
-            return decode(record, payload)  # type: ignore[no-any-return]
+            return decode(record, payload)
         except (OSError, KeyError, ValueError, SyntaxError, TypeError, struct.error, RecordError):
             return None
 
@@ -137,6 +137,3 @@
         os.fsync(descriptor)
     finally:
         os.close(descriptor)
-
-
-__all__ = ["Storage", "encode", "number_of", "record_number"]
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -179,7 +179,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.loss = self.doubled = self.late = 0.0
         for machine in self.machines.values():
-            self.after(self.random.uniform(0, 0.3), lambda machine=machine: machine.start(bootstrap=True))
+            self.after(self.random.uniform(0, 0.3), partial(machine.start, bootstrap=True))
 
     def after(self, seconds: float, step: Callable[[], None]) -> None:
         heapq.heappush(self._events, (self.now + seconds, next(self._order), step))
@@ -232,10 +232,10 @@
     def heal(self) -> None:
         self.cut.clear()
 
-    def add(self, address: str) -> Machine:
+    def add(self, address: str) -> None:
+        """A machine that is new to the system."""
         machine = self.machines[address] = Machine(self, address)
         machine.start()
-        return machine
 
     def up(self) -> list[Machine]:
         return [machine for machine in self.machines.values() if machine.up]
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from pathlib import Path
 
 import pytest
@@ -18,8 +19,6 @@
 
 
 def free_port() -> int:
-    import socket
-
     with socket.create_server((HOSTS[0], 0)) as bound:
         return int(bound.getsockname()[1])
 
--- a/tests/control/test_simulation.py
+++ b/tests/control/test_simulation.py
@@ -1,7 +1,9 @@
-"""Random troubles within tolerance on a simulated core, against an independent checker; and timed calm paths."""
+"""Random troubles within tolerance on a simulated core against an independent checker; timed calm paths."""
 
 from __future__ import annotations
 
+from functools import partial
+
 import pytest
 
 from roselink.control.effects import Confirmation, SubmitOutcome, TakenOrder
@@ -142,7 +144,7 @@
         hurt.kill()
         del world.machines[hurt.address]
         address = f"10.0.1.{episode + 1}:7500"
-        world.after(lasts, lambda: world.add(address) and None)
+        world.after(lasts, partial(world.add, address))
     elif trouble == "link":
         other = draw.choice([machine for machine in world.up() if machine is not hurt])
         world.separate(hurt.address, other.address, one_way=draw.random() < 0.5)
