--- a/roselink/control/storage.py
+++ b/roselink/control/storage.py
@@ -87,7 +87,7 @@
         return None
 
     def _read(self, store: Store, number: int) -> object:
-        """The record of one generation, or None when it isn't whole."""
+        """The record of one generation, or None when it isn't whole. OSError: nothing is known of it."""
         try:
             files = _Files(self._base(store, number), "", "r")
             try:
@@ -99,7 +99,7 @@
             if said != number or checksum != _checksum(number, record, payload):
                 return None
             return decode(record, payload)
-        except (OSError, KeyError, ValueError, SyntaxError, TypeError, struct.error, RecordError):
+        except (FileNotFoundError, KeyError, ValueError, SyntaxError, TypeError, struct.error, RecordError):
             return None
 
     def _numbers(self, store: Store) -> list[int]:
