--- a/roselink/control/api.py
+++ b/roselink/control/api.py
@@ -19,7 +19,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Request, Site
 
-from roselink.control.checking import MOST_NUMBER, Fault, Refused, check
+from roselink.control.checking import Fault, Refused, check
 from roselink.control.contract import (
     ConfigurationOrder,
     Confirmation,
@@ -31,6 +31,7 @@
     Unsettled,
 )
 from roselink.control.pulls import GatewayLag
+from roselink.control.values import MOST_NUMBER
 from roselink.model.fleet import VersionVector
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -41,8 +41,8 @@
 class CoreNode(ControlNode, Protocol):
     """The chain's driver, with what only the assembly needs."""
 
-    async def start(self) -> None:
-        """Read the disk and join the core."""
+    def start(self) -> None:
+        """Begin to read the disk and to join the core."""
 
     async def stop(self) -> None:
         """Leave in order; what is acknowledged is on disk."""
@@ -50,8 +50,8 @@
     def handle(self, peer: Address, message: object, reply: Reply) -> bool:
         """Take a record of the chain; False for any other."""
 
-    def seeds_changed(self, seeds: tuple[Address, ...]) -> None:
-        """Other members may be asked for the core's state."""
+    def seeds_changed(self, settings: ProcessSettings) -> None:
+        """The settings name other seeds: members that may be asked for the core's state."""
 
 
 def run(settings: ProcessSettings) -> None:
@@ -82,7 +82,7 @@
 
 def _make_node(settings: ProcessSettings, pool: PeerPool) -> CoreNode:
     node = importlib.import_module("roselink.control.node")
-    made: CoreNode = node.ControlNode(settings, pool)
+    made: CoreNode = node.ControlNode(settings, pool, asyncio.get_running_loop())
     return made
 
 
@@ -153,7 +153,7 @@
         self._pulls = PullService(node, self._pool)
         self._api = AdminApi(node, self._pulls, self._reactor)
         await self._listen(settings.ip, settings.peer_port)
-        await node.start()
+        node.start()
         self._pulls.start()
         if settings.platform is not None:
             from roselink.control.platform_client import PlatformClient  # noqa: PLC0415 - needs the reactor
@@ -179,6 +179,8 @@
             except OSError:
                 if not left:
                     raise
+                if left == LISTEN_TRIES - 1:
+                    self._log.warning("port_taken", port=port)
                 await asyncio.sleep(LISTEN_PAUSE_S)
 
     def _role_changed(self) -> None:
@@ -201,7 +203,7 @@
             self._log.error("settings_unusable", faults=error.faults)
             return
         if self._node is not None and settings.seeds != self._settings.seeds:
-            self._node.seeds_changed(settings.seed_peers())
+            self._node.seeds_changed(settings)
         self._settings = settings
         self._log.info("settings_read", seeds=len(settings.seeds))
 
--- a/roselink/control/checking.py
+++ b/roselink/control/checking.py
@@ -7,17 +7,29 @@
 from __future__ import annotations
 
 import json
-import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, NoReturn
 
-from voluptuous import ALLOW_EXTRA, In, Invalid, MultipleInvalid, Optional, Required, Schema
-
+from voluptuous import In, Invalid, MultipleInvalid, Required, Schema
+
+from roselink.control.values import (
+    amount,
+    any_text,
+    count,
+    flag,
+    list_of,
+    mapping,
+    may,
+    positive,
+    positive_whole,
+    prefix,
+    text,
+    whole,
+)
 from roselink.model.configuration import RouteKind
 
 MOST_FAULTS = 100  # faults reported of one document
-MOST_NUMBER = 2**63 - 1  # what a record's whole number holds
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,176 +94,63 @@
     return Fault(path, {"required key not provided": "is missing"}.get(reason, reason))
 
 
-# Values. Each takes a value and returns it, or raises `Invalid`.
-
-
-def _text(value: object) -> object:
-    if not isinstance(value, str) or not value:
-        raise Invalid("must be text")
-    if not value.isascii():
-        try:
-            value.encode()
-        except UnicodeEncodeError:
-            raise Invalid("holds half a character") from None
-    return value
-
-
-def _any_text(value: object) -> object:
-    return _text(value) if value != "" else value
-
-
-def _number(value: object) -> object:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise Invalid("must be a number")
-    if not -MOST_NUMBER <= value <= MOST_NUMBER:  # also infinite
-        raise Invalid("is out of range")
-    return value
-
-
-def _amount(value: Any) -> object:
-    _number(value)
-    if value < 0:
-        raise Invalid("must not be below 0")
-    return value
-
-
-def _whole(value: Any) -> object:
-    _number(value)
-    if value != math.floor(value):
-        raise Invalid("must be a whole number")
-    return value
-
-
-def _count(value: Any) -> object:
-    return _amount(_whole(value))
-
-
-def _generation(value: Any) -> object:
-    _whole(value)
-    if value <= 0:
-        raise Invalid("must be above 0")
-    return value
-
-
-def _timeout(value: Any) -> object:
-    _number(value)
-    if value <= 0:
-        raise Invalid("must be above 0")
-    return value
-
-
-def _prefix(value: object) -> object:
-    _text(value)
-    if not (str(value).startswith("/") and str(value).endswith("/")):
-        raise Invalid("must begin and end with a slash")
-    return value
-
-
-def _flag(value: object) -> object:
-    if not isinstance(value, bool):
-        raise Invalid("must be true or false")
-    return value
-
-
-def _or_absent(inner: Callable[[Any], object]) -> Callable[[Any], object]:
-    def validate(value: Any) -> object:
-        return None if value is None else inner(value)
-
-    return validate
-
-
-def _list_of(entry: Callable[[Any], object]) -> Callable[[Any], object]:
-    def validate(value: Any) -> object:
-        if not isinstance(value, list):
-            raise Invalid("must be a list")
-        errors: list[Invalid] = []
-        for index, item in enumerate(value):
-            try:
-                entry(item)
-            except Invalid as invalid:
-                invalid.prepend([index])
-                errors.extend(invalid.errors if isinstance(invalid, MultipleInvalid) else [invalid])
-                if len(errors) >= MOST_FAULTS:
-                    break
-        if errors:
-            raise MultipleInvalid(errors)
-        return value
-
-    return validate
-
-
-def _object(fields: dict[Any, Any]) -> Callable[[Any], object]:
-    schema = Schema(fields, extra=ALLOW_EXTRA)
-
-    def validate(value: Any) -> object:
-        if not isinstance(value, dict):
-            raise Invalid("must be an object")
-        return schema(value)
-
-    return validate
-
-
-def _may(name: str, validator: Callable[[Any], object]) -> dict[Any, Any]:
-    return {Optional(name): _or_absent(validator)}
-
-
 _KINDS = In([kind.value for kind in RouteKind], msg="must be idempotent, non_idempotent or streaming")
 
-_SHARE = _object({Required("service"): _text, Required("weight"): _amount})
+_SHARE = mapping({Required("service"): text, Required("weight"): amount})
 
-_ROUTE = _object(
+_ROUTE = mapping(
     {
-        Required("name"): _text,
-        Required("hostname"): _text,
-        Required("path_prefix"): _prefix,
+        Required("name"): text,
+        Required("hostname"): text,
+        Required("path_prefix"): prefix,
         Required("kind"): _KINDS,
     }
-    | _may("timeout_ms", _timeout)
-    | _may("target_latency_ms", _amount)
-    | _may("gap_aim_ms", _amount)
-    | _may("priority", _whole)
-    | _may("max_attempts", _count)
-    | _may("public", _flag)
-    | _may("session_affinity", _flag)
-    | _may("resumable", _flag)
-    | _may("service", _text)
-    | _may("traffic_split", _list_of(_SHARE))
+    | may("timeout_ms", positive)
+    | may("target_latency_ms", amount)
+    | may("gap_aim_ms", amount)
+    | may("priority", whole)
+    | may("max_attempts", count)
+    | may("public", flag)
+    | may("session_affinity", flag)
+    | may("resumable", flag)
+    | may("service", text)
+    | may("traffic_split", list_of(_SHARE))
 )
 
-_ENGINE = _object(_may("capacity", _count) | _may("kv_capacity", _count))
+_ENGINE = mapping(may("capacity", count) | may("kv_capacity", count))
 
-_SERVICE = _object(
-    {Required("name"): _text}
-    | _may("health_check", _any_text)
-    | _may("max_connections", _count)
-    | _may("engine", _ENGINE)
+_SERVICE = mapping(
+    {Required("name"): text}
+    | may("health_check", any_text)
+    | may("max_connections", count)
+    | may("engine", _ENGINE)
 )
 
-_TENANT = _object(
-    {Required("name"): _text}
-    | _may("api_keys", _list_of(_text))
-    | _may("priority", _whole)
-    | _may("unit", _any_text)
-    | _may("plain_tokens", _count)
-    | _may("rate_per_s", _amount)
-    | _may("burst", _amount)
+_TENANT = mapping(
+    {Required("name"): text}
+    | may("api_keys", list_of(text))
+    | may("priority", whole)
+    | may("unit", any_text)
+    | may("plain_tokens", count)
+    | may("rate_per_s", amount)
+    | may("burst", amount)
 )
 
-_LIMITS = _object(
-    _may("max_header_bytes", _count)
-    | _may("max_body_bytes", _count)
-    | _may("header_timeout_ms", _amount)
-    | _may("idle_timeout_ms", _amount)
+_LIMITS = mapping(
+    may("max_header_bytes", count)
+    | may("max_body_bytes", count)
+    | may("header_timeout_ms", amount)
+    | may("idle_timeout_ms", amount)
 )
 
-_DOCUMENT = _object(
+_DOCUMENT = mapping(
     {
-        Required("generation"): _generation,
-        Required("routes"): _list_of(_ROUTE),
-        Required("services"): _list_of(_SERVICE),
+        Required("generation"): positive_whole,
+        Required("routes"): list_of(_ROUTE),
+        Required("services"): list_of(_SERVICE),
     }
-    | _may("limits", _LIMITS)
-    | _may("tenants", _list_of(_TENANT))
+    | may("limits", _LIMITS)
+    | may("tenants", list_of(_TENANT))
 )
 
 _SCHEMA = Schema(_DOCUMENT)
