--- a/roselink/control/api.py
+++ b/roselink/control/api.py
@@ -150,7 +150,9 @@
             case TakenOrder(sequence):
                 return _json(request, 200, {"generation": order.generation, "sequence": sequence})
             case Conflict(current):
-                return _json(request, 412, {"error": "conflict", "current": current})
+                return _conflict(request, current)
+            case NotNewer(current) if current != order.base:
+                return _conflict(request, current)
             case NotNewer(current):
                 return _invalid(request, (Fault("generation", f"must be above {current}"),))
             case Unsettled():
@@ -234,6 +236,10 @@
     return _json(request, 400, {"error": "invalid", "faults": [asdict(fault) for fault in faults]})
 
 
+def _conflict(request: ApiRequest, current: int) -> bytes:
+    return _json(request, 412, {"error": "conflict", "current": current})
+
+
 def _unavailable(request: Any, why: str) -> bytes:
     request.setHeader(b"Retry-After", RETRY_AFTER_S.encode())
     return _json(request, 503, {"error": why})
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -118,25 +118,27 @@
 
 
 @pytest.mark.parametrize(
-    ("outcome", "status", "said"),
+    ("base", "outcome", "status", "said"),
     [
-        (TakenOrder(9), 200, {"generation": 7, "sequence": 9}),
-        (Conflict(6), 412, {"error": "conflict", "current": 6}),
+        (5, TakenOrder(9), 200, {"generation": 7, "sequence": 9}),
+        (5, Conflict(6), 412, {"error": "conflict", "current": 6}),
+        (5, NotNewer(8), 412, {"error": "conflict", "current": 8}),
         (
+            8,
             NotNewer(8),
             400,
             {"error": "invalid", "faults": [{"path": "generation", "reason": "must be above 8"}]},
         ),
-        (Unsettled(), 503, {"error": "unsettled"}),
+        (5, Unsettled(), 503, {"error": "unsettled"}),
     ],
 )
-def test_each_outcome_has_its_answer(outcome: SubmitOutcome, status: int, said: Any) -> None:
+def test_each_outcome_has_its_answer(base: int, outcome: SubmitOutcome, status: int, said: Any) -> None:
     async def work(serving: Served) -> None:
         caller = await serving.caller()
-        caller.send("POST", "/config/replace", ORDER, X_Base_Version="5")
+        caller.send("POST", "/config/replace", ORDER, X_Base_Version=str(base))
         order, done = await serving.node.orders.get()
-        assert (order.base, order.generation, order.document) == (5, 7, ORDER)
-        assert order.digest == order_digest(5, ORDER)
+        assert (order.base, order.generation, order.document) == (base, 7, ORDER)
+        assert order.digest == order_digest(base, ORDER)
         assert serving.api.under_way == 1
         done(outcome)
         answer = await caller.receive()
