--- a/roselink/control/api.py
+++ b/roselink/control/api.py
@@ -19,7 +19,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Request, Site
 
-from roselink.control.checking import MOST_NUMBER, Fault, Refused, check
+from roselink.control.checking import Fault, Refused, check
 from roselink.control.contract import (
     ConfigurationOrder,
     Confirmation,
@@ -31,6 +31,7 @@
     Unsettled,
 )
 from roselink.control.pulls import GatewayLag
+from roselink.control.values import MOST_NUMBER
 from roselink.model.fleet import VersionVector
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -149,7 +150,9 @@
             case TakenOrder(sequence):
                 return _json(request, 200, {"generation": order.generation, "sequence": sequence})
             case Conflict(current):
-                return _json(request, 412, {"error": "conflict", "current": current})
+                return _conflict(request, current)
+            case NotNewer(current) if current != order.base:
+                return _conflict(request, current)
             case NotNewer(current):
                 return _invalid(request, (Fault("generation", f"must be above {current}"),))
             case Unsettled():
@@ -233,6 +236,10 @@
     return _json(request, 400, {"error": "invalid", "faults": [asdict(fault) for fault in faults]})
 
 
+def _conflict(request: ApiRequest, current: int) -> bytes:
+    return _json(request, 412, {"error": "conflict", "current": current})
+
+
 def _unavailable(request: Any, why: str) -> bytes:
     request.setHeader(b"Retry-After", RETRY_AFTER_S.encode())
     return _json(request, 503, {"error": why})
