Quotas: a new owner counts from the last level that askers heard; a fleet in one process

Askers now tell the newest level they heard and what they admitted by themselves since. Ruled out: replaying each gateway's half-second sums (double counts at the seam). Test files follow.

--- a/roselink/membership/budget_service.py
+++ b/roselink/membership/budget_service.py
@@ -23,7 +23,7 @@
     RepeatLedger,
     SendRepeatAsk,
 )
-from roselink.membership.roles import Roles
+from roselink.membership.roles import FRESH_S, Roles
 from roselink.membership.usage import Limit, QuotaRule
 from roselink.model.configuration import Tenant
 from roselink.model.fleet import Member, Snapshot
@@ -54,11 +54,13 @@
         window_s, slack = thresholds.retry_window_s, thresholds.retry_slack
         self._own, self._pool, self._refresh, self._clock = own, pool, refresh, clock
         self._roles = Roles(own)
-        self._quotas, self._quota_client = QuotaLedger(rule), QuotaClient(self._roles, rule)
+        self._quotas, self._quota_client = QuotaLedger(rule, own.incarnation), QuotaClient(self._roles, rule)
         self._repeats, self._repeat_client = (
             RepeatLedger(window_s, slack),
             RepeatClient(self._roles, window_s, slack),
         )
+        self._tenants: list[str] = []
+        self._services: list[str] = []
         self._numbers = itertools.count(1)
         self._quota_waits: dict[int, DecideQuota] = {}
         self._repeat_waits: dict[int, DecideRepeat] = {}
@@ -75,14 +77,19 @@
         }
         self._roles.update(snapshot.vector.roster, snapshot.roster)
         self._quotas.configure(limits, now)
-        self._quotas.own(self._owned(quota_client.KEY_PREFIX, limits), now)
-        services = [service.name for service in snapshot.configuration.services]
-        self._repeats.own(self._owned(repeats.KEY_PREFIX, services), now)
+        self._tenants = list(limits)
+        self._services = [service.name for service in snapshot.configuration.services]
+        self._own_roles(now)
         self._perform(self._quota_client.configure(limits, now))
 
     def confirm(self, at: float) -> None:
         """What is in force was the newest after `at`."""
-        self._roles.confirm(at)
+        now = self._clock()
+        silent_s = self._roles.confirm(at, now)
+        if silent_s >= FRESH_S:
+            self._quotas.end_terms()
+            self._repeats.end_terms(silent_s)
+            self._own_roles(now)
 
     def admit(self, tenant: Tenant, amount: float, decide: DecideQuota) -> None:
         """Decide whether a request is within its tenant's quota: `decide(allowed, retry_after_s)`, once."""
@@ -113,11 +120,20 @@
             return False
         return True
 
+    def begin_drain(self) -> None:
+        """This gateway takes no new requests, and admits none by itself any more."""
+        self._quota_client.leaving = True
+
     def stop(self) -> None:
         """No more timers."""
         if self._timer is not None:
             self._timer.cancel()
 
+    def _own_roles(self, now: float) -> None:
+        tenants = self._owned(quota_client.KEY_PREFIX, self._tenants)
+        self._quotas.own(tenants, self._roles.roster, now)
+        self._repeats.own(self._owned(repeats.KEY_PREFIX, self._services), now)
+
     def _owned(self, prefix: str, names: Iterable[str]) -> list[str]:
         return [name for name in names if self._roles.owns(prefix + name)]
 
@@ -126,7 +142,7 @@
         verdict = self._judge(quota_client.KEY_PREFIX + ask.tenant, ask.token, now)
         if verdict is Verdict.DECIDED:
             return self._quotas.ask(ask, now)
-        return QuotaAnswer(verdict, self._roles.token, (), 0.0, 0.0, 0.0)
+        return QuotaAnswer(verdict, self._roles.token)
 
     def _own_repeat(self, ask: RepeatAsk) -> RepeatAnswer:
         now = self._clock()
--- a/roselink/membership/ledger.py
+++ b/roselink/membership/ledger.py
@@ -1,9 +1,9 @@
 """The owner's side of quotas: one exact token bucket a tenant, and who used how much.
 
-A term begins when this gateway becomes the owner of a tenant. It then knows nothing, and each asker's first
-ask brings what that gateway admitted in the last window; the bucket is replayed over it. What gateways that
-are gone had used stays unknown: the level at the start of a term is capped by a part of the rule's
-allowance.
+A term begins when this gateway becomes the owner of a tenant. Each asker tells what its last answer said of
+the bucket of the owner before, and what it admitted by itself since then: the newest such answer and all of
+the latter together say how the bucket stands now. Where nobody knows, the term starts at a part of the
+rule's allowance, for gateways that are gone may have used any amount.
 
 An asker that falls silent may be cut off and admit at its recent rate by itself (`quota_client`): the owner
 holds that much back from the others meanwhile.
@@ -14,12 +14,13 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from roselink.membership.usage import GRACE_PART, START_PART, Event, Limit, QuotaRule, Usage, replay
-from roselink.membership.usage import SLOT_S as _TOLERANCE_S
-from roselink.protocol.ledger import QuotaAnswer, QuotaAsk, Used, Verdict
+from roselink.membership.usage import GRACE_PART, START_PART, Limit, QuotaRule, Usage
+from roselink.model.fleet import Member
+from roselink.protocol.ledger import Level, QuotaAnswer, QuotaAsk, Used, Verdict
 
 SILENT_S = 0.8  # askers with recent use are heard about twice as often (quota_client.SIGN_OF_LIFE_S)
-HELD_BACK_S = 3.0  # an asker admits by itself for no longer (quota_client.ALONE_S)
+HELD_BACK_S = 2.0  # an asker admits by itself for no longer (quota_client.ALONE_S)
+SURE_S = 1.0  # a level that was heard so long ago may have been taken up by others since
 AHEAD_ABOVE = 0.5  # of the burst: tokens are lent ahead only from a bucket that is fuller
 RETRY_AFTER_MOST_S = 2.0
 
@@ -44,18 +45,40 @@
 
 @dataclass(slots=True)
 class _Bucket:
-    """One tenant in this owner's term."""
+    """One tenant in this owner's term. `assumed` is where the owner before stood at a moment, and this term
+    counts from it; `told_at` is when an asker heard the newest level of that owner."""
 
     limit: Limit
-    began_at: float
+    term: int
     at: float
     level: float
+    assumed: tuple[float, float]
+    told_at: float = float("-inf")
     askers: dict[Asker, _Record] = field(default_factory=dict)
 
     def refill(self, now: float) -> None:
-        self.level = min(self.limit.burst, self.level + self.limit.rate_per_s * max(0.0, now - self.at))
+        self.level = self._refilled(self.level, max(0.0, now - self.at))
         self.at = max(self.at, now)
 
+    def take(self, amount: float) -> None:
+        self.level = min(self.limit.burst, self.level - amount)
+
+    def count_from(self, known: Level, most: float, now: float) -> None:
+        """Count from where the owner before stood, as an asker heard it; the newest such level stays. From an
+        old one no more than `most` is counted: others may have taken what it seems to have gained since."""
+        at = now - known.age_ms / 1000
+        if known.term == self.term or at <= self.told_at:
+            return
+        level = self._refilled(known.level, now - at)
+        if now - at > SURE_S:
+            level = min(level, most)
+        self.level += level - self._refilled(self.assumed[0], now - self.assumed[1])
+        self.level = min(self.limit.burst, self.level)
+        self.assumed, self.told_at = (level, now), at
+
+    def _refilled(self, level: float, after_s: float) -> float:
+        return min(self.limit.burst, level + self.limit.rate_per_s * after_s)
+
     def adopt(self, limit: Limit, now: float) -> None:
         """A new limit: a higher burst is there at once, a lower one caps."""
         self.refill(now)
@@ -64,10 +87,11 @@
 
 
 class QuotaLedger:
-    """The buckets of all tenants that this gateway owns."""
+    """The buckets of all tenants that this gateway owns. `incarnation` tells its terms from others'."""
 
-    def __init__(self, rule: QuotaRule) -> None:
+    def __init__(self, rule: QuotaRule, incarnation: int) -> None:
         self._rule = rule
+        self._next_term = incarnation
         self._limits: dict[str, Limit] = {}
         self._buckets: dict[str, _Bucket] = {}
 
@@ -81,37 +105,58 @@
             elif limit != self._buckets[tenant].limit:
                 self._buckets[tenant].adopt(limit, now)
 
-    def own(self, tenants: Iterable[str], now: float) -> None:
-        """The tenants that this gateway owns from now on: terms begin and end."""
+    def own(self, tenants: Iterable[str], roster: Iterable[Member], now: float) -> None:
+        """The tenants that this gateway owns from now on: terms begin and end. Nothing is held back for a
+        process that started anew."""
         owned = {name for name in tenants if name in self._limits and self._limits[name].rate_per_s > 0}
         for tenant in [name for name in self._buckets if name not in owned]:
             del self._buckets[tenant]
-        for tenant in owned - self._buckets.keys():
+        for tenant in sorted(owned - self._buckets.keys()):
             limit = self._limits[tenant]
-            self._buckets[tenant] = _Bucket(limit, now, now, self._first_level(limit))
+            self._next_term += 1
+            level = self._first_level(limit)
+            self._buckets[tenant] = _Bucket(limit, self._next_term, now, level, (level, now))
+        incarnations = {member.name: member.incarnation for member in roster}
+        for bucket in self._buckets.values():
+            for (name, incarnation), record in bucket.askers.items():
+                if incarnations.get(name, incarnation) != incarnation:
+                    record.rate = 0.0
+
+    def end_terms(self) -> None:
+        """This gateway's view was not confirmed for so long that another may have owned its tenants."""
+        self._buckets.clear()
 
     def ask(self, ask: QuotaAsk, now: float) -> QuotaAnswer:
         """Decide; the caller has judged the token."""
         bucket = self._buckets.get(ask.tenant)
         if bucket is None:
-            return QuotaAnswer(Verdict.NOT_YET, ask.token, (), 0.0, 0.0, 0.0)
-        bucket.refill(now)
+            return QuotaAnswer(Verdict.NOT_YET, ask.token)
         asker = (ask.asker, ask.incarnation)
-        record = bucket.askers.get(asker)
-        if record is None:
-            if ask.report is None:
-                return QuotaAnswer(Verdict.REPORT_WANTED, ask.token, (), 0.0, 0.0, 0.0)
-            record = bucket.askers[asker] = _Record(Usage(self._rule.window_s), now)
+        if asker not in bucket.askers and ask.report is None:
+            return QuotaAnswer(Verdict.REPORT_WANTED, ask.token)
         if ask.report is not None:
-            self._merge(bucket, record, ask.report, now)
-        if ask.returned > 0:
-            bucket.level = min(bucket.limit.burst, bucket.level + ask.returned)
+            bucket.askers[asker] = _Record(self._usage(ask.report, now), now)
+        record = bucket.askers[asker]
+        bucket.refill(now)
+        if ask.known is not None and ask.known.age_ms < self._rule.window_s * 1000:
+            bucket.count_from(ask.known, self._first_level(bucket.limit), now)
+        bucket.take(ask.alone - ask.returned)
+        if ask.returned:
             record.usage.add(now, -ask.returned)
         admitted, retry_after_s = self._decide(bucket, record, ask.amounts, now)
         ahead = self._lend(bucket, record, ask.ahead, now) if all(admitted) else 0.0
-        record.heard_at, record.rate = now, record.usage.total(now) / self._rule.window_s
+        record.heard_at = now
+        record.rate = 0.0 if ask.leaving else record.usage.total(now) / self._rule.window_s
         share = self._share(bucket, record, now)
-        return QuotaAnswer(Verdict.DECIDED, ask.token, admitted, ahead, retry_after_s, share)
+        return QuotaAnswer(
+            Verdict.DECIDED, ask.token, admitted, ahead, retry_after_s, share, bucket.term, bucket.level
+        )
+
+    def _usage(self, report: tuple[Used, ...], now: float) -> Usage:
+        usage = Usage(self._rule.window_s)
+        for used in report:
+            usage.add(now - used.age_ms / 1000, used.amount)
+        return usage
 
     def _first_level(self, limit: Limit) -> float:
         return min(limit.burst, START_PART * self._rule.allowance(limit))
@@ -128,7 +173,7 @@
             missing = min(amount, bucket.limit.burst) - (bucket.level + grace - held_back)
             decisions.append(missing <= 0)
             if missing <= 0:
-                bucket.level -= amount
+                bucket.take(amount)
                 record.usage.add(now, amount)
             elif not retry_after_s:
                 retry_after_s = min(RETRY_AFTER_MOST_S, missing / bucket.limit.rate_per_s)
@@ -137,7 +182,7 @@
     def _lend(self, bucket: _Bucket, record: _Record, wanted: float, now: float) -> float:
         ahead = max(0.0, min(wanted, bucket.level - AHEAD_ABOVE * bucket.limit.burst))
         if ahead > 0:
-            bucket.level -= ahead
+            bucket.take(ahead)
             record.usage.add(now, ahead)
         return ahead
 
@@ -148,35 +193,3 @@
                 del bucket.askers[asker]
         whole = sum(totals.values())
         return max(0.0, min(1.0, record.usage.total(now) / whole)) if whole > 0 else 0.0
-
-    def _merge(self, bucket: _Bucket, record: _Record, report: tuple[Used, ...], now: float) -> None:
-        """Add what the asker used and this owner didn't know; the level never rises by it."""
-        missing = _missing(record.usage, report, now)
-        if not missing:
-            return
-        for at, amount in missing:
-            record.usage.add(at, amount)
-        events = [event for entry in bucket.askers.values() for event in entry.usage.events(now)]
-        level, begin = bucket.limit.burst, now - self._rule.window_s
-        if bucket.began_at > begin:
-            level = replay(events, level, begin, bucket.began_at, bucket.limit)
-            level, begin = min(level, self._first_level(bucket.limit)), bucket.began_at
-        bucket.level = min(bucket.level, replay(events, level, begin, now, bucket.limit))
-
-
-def _missing(known: Usage, report: tuple[Used, ...], now: float) -> list[Event]:
-    """What a report tells beyond what is known, newest first. Known use counts a slot earlier too: the two
-    sides cut their slots at different moments."""
-    events = known.events(now)
-    told = found = 0.0
-    missing: list[Event] = []
-    for used in sorted(report, key=lambda entry: entry.age_ms):
-        at = now - used.age_ms / 1000
-        if used.age_ms < 0 or now - at >= known.window_s:
-            continue
-        told += used.amount
-        counted = sum(amount for when, amount in events if when > at - _TOLERANCE_S)
-        if told - counted > found:
-            missing.append((at, told - counted - found))
-            found = told - counted
-    return missing
--- a/roselink/membership/quota_client.py
+++ b/roselink/membership/quota_client.py
@@ -15,7 +15,7 @@
 from roselink.membership.repeats import RefreshRoster
 from roselink.membership.roles import Roles
 from roselink.membership.usage import LOCAL_PART, NEWCOMER_PART, Limit, QuotaRule, Usage
-from roselink.protocol.ledger import QuotaAnswer, QuotaAsk, Verdict
+from roselink.protocol.ledger import Level, QuotaAnswer, QuotaAsk, Verdict
 
 KEY_PREFIX = "quota/"
 ASK_TIMEOUT_S = 0.15
@@ -26,8 +26,8 @@
 SIGN_OF_LIFE_S = 0.4
 LEASE_S = 0.3
 AHEAD_S = 0.25  # of recent use is asked for ahead, where that is a request's worth
-ALONE_S = 3.0
-ALONE_BURST_S = 0.5
+ALONE_S = 2.0
+ALONE_BURST_S = 1.0
 RETRY_ALONE_S = 0.3
 
 
@@ -71,21 +71,32 @@
     backed: bool
 
 
+@dataclass(slots=True)
+class _Open:
+    """The ask under way."""
+
+    call: int
+    sent_at: float
+    asked: list[_Waiting]
+    unknown: float
+
+
 @dataclass(slots=True)
 class _Tenant:
     limit: Limit
     used: Usage
     unbacked: Usage  # admitted here with nobody holding back for it
     waiting: deque[_Waiting] = field(default_factory=deque)
-    open: tuple[int, float, list[_Waiting], str] | None = None  # call, sent at, what it asks for, owner
+    open: _Open | None = None
     asked_at: float = float("-inf")
     not_before: float = 0.0
     failures: int = 0
     told: int = 0  # the token under which the owner has our report
     alone: _Alone | None = None
+    unknown: float = 0.0  # admitted here since an owner last answered
+    known: tuple[int, float, float] | None = None  # an owner's term, its bucket's level, and when we heard it
     lease: float = 0.0
     lease_until: float = 0.0
-    lender: str = ""
     returned: float = 0.0
     share: float = 0.0
     typical: float = 0.0  # size of a request
@@ -95,6 +106,7 @@
     """Decisions on requests of all tenants, at one gateway."""
 
     def __init__(self, roles: Roles, rule: QuotaRule) -> None:
+        self.leaving = False
         self._roles, self._rule = roles, rule
         self._tenants: dict[str, _Tenant] = {}
         self._calls: dict[int, str] = {}
@@ -109,7 +121,7 @@
                 self._tenants[name].limit = limit
                 continue
             gone = self._tenants.pop(name)
-            asked = gone.open[2] if gone.open is not None else []
+            asked = gone.open.asked if gone.open is not None else []
             effects += [QuotaDecided(entry.number, True, 0.0) for entry in [*asked, *gone.waiting]]
         for name, limit in limits.items():
             if limit.rate_per_s > 0 and name not in self._tenants:
@@ -145,17 +157,16 @@
         """The outcome of an ask: the owner's answer, or None."""
         tenant = self._calls.pop(call, "")
         state = self._tenants.get(tenant)
-        if state is None or state.open is None or state.open[0] != call:
+        if state is None or state.open is None or state.open.call != call:
             return []
-        _, sent_at, asked, owner = state.open
-        state.open = None
+        ended, state.open = state.open, None
         if answer is not None and answer.verdict is Verdict.DECIDED:
-            return self._decided(state, asked, owner, sent_at, answer, now) + self._pump(tenant, state, now)
-        state.waiting.extendleft(reversed(asked))
+            return self._decided(state, ended, answer, now) + self._pump(tenant, state, now)
+        state.waiting.extendleft(reversed(ended.asked))
         effects: list[Effect] = []
         if answer is None:
             state.failures += 1
-            if state.failures > 1 or now - sent_at > QUICK_FAILURE_S:
+            if state.failures > 1 or now - ended.sent_at > QUICK_FAILURE_S:
                 state.not_before = now + PROBE_S
                 effects = self._go_alone(state, now)
         elif answer.verdict is Verdict.REPORT_WANTED and state.told:
@@ -204,52 +215,65 @@
             state.not_before = now + PROBE_S
             return self._go_alone(state, now)
         asked, state.waiting = list(state.waiting), deque()
-        report = None if state.told == found.token and state.alone is None else state.used.report(now)
-        ahead = self._ahead(state, now) if asked else 0.0
-        returned, state.returned = state.returned, 0.0
         self._last_call += 1
         self._calls[self._last_call] = tenant
-        state.open = self._last_call, now, asked, found.owner.name
+        state.open = _Open(self._last_call, now, asked, state.unknown)
         state.asked_at = now
-        own, amounts = self._roles.own, tuple(entry.amount for entry in asked)
-        ask = QuotaAsk(tenant, found.token, own.name, own.incarnation, amounts, ahead, returned, report)
+        ask = self._ask(tenant, found.token, state, now)
         return [SendQuotaAsk(self._last_call, found.owner.address, ask, ASK_TIMEOUT_S)]
 
+    def _ask(self, tenant: str, token: int, state: _Tenant, now: float) -> QuotaAsk:
+        assert state.open is not None
+        asked = state.open.asked
+        report, known = None, None
+        if state.told != token or state.alone is not None:
+            report = state.used.report(now)
+            if state.known is not None:
+                term, level, at = state.known
+                known = Level(term, level, int((now - at) * 1000))
+        returned, state.returned = state.returned, 0.0
+        return QuotaAsk(
+            tenant,
+            token,
+            self._roles.own.name,
+            self._roles.own.incarnation,
+            tuple(entry.amount for entry in asked),
+            self._ahead(state, now) if asked else 0.0,
+            returned,
+            state.unknown,
+            self.leaving,
+            known,
+            report,
+        )
+
     def _ahead(self, state: _Tenant, now: float) -> float:
         wanted = AHEAD_S * state.used.total(now) / self._rule.window_s - state.lease
         return wanted if wanted >= state.typical else 0.0
 
-    def _decided(
-        self,
-        state: _Tenant,
-        asked: list[_Waiting],
-        owner: str,
-        sent_at: float,
-        answer: QuotaAnswer,
-        now: float,
-    ) -> list[Effect]:
+    def _decided(self, state: _Tenant, ended: _Open, answer: QuotaAnswer, now: float) -> list[Effect]:
         state.alone, state.failures, state.told, state.share = None, 0, answer.token, answer.share
+        state.unknown -= ended.unknown
+        state.known = answer.term, answer.level, now
         effects: list[Effect] = []
-        for entry, admitted in zip(asked, answer.admitted, strict=False):
+        for entry, admitted in zip(ended.asked, answer.admitted, strict=False):
             if admitted:
                 state.used.add(now, entry.amount)
             effects.append(QuotaDecided(entry.number, admitted, 0.0 if admitted else answer.retry_after_s))
         if answer.ahead > 0:
             state.lease += answer.ahead
-            state.lease_until, state.lender = sent_at + LEASE_S, owner
+            state.lease_until = ended.sent_at + LEASE_S
         return effects
 
     def _end_lease(self, state: _Tenant, now: float) -> None:
-        """What is left of a lease goes back to the same lender; a new owner never counted it."""
+        """What is left of a lease goes back."""
         if state.lease and now >= state.lease_until:
-            if state.told == self._roles.token:
-                state.returned += state.lease
+            state.returned += state.lease
             state.lease = 0.0
 
     def _go_alone(self, state: _Tenant, now: float) -> list[Effect]:
         if state.alone is None:
             rate = max(0.0, state.used.total(now)) / self._rule.window_s
-            backed = state.told == self._roles.token != 0
+            backed = state.told != 0 and not self.leaving
             state.alone = _Alone(now, rate, rate * ALONE_BURST_S, now, backed)
         waiting, state.waiting = state.waiting, deque()
         return [self._decide_alone(state, entry, now) for entry in waiting]
@@ -261,12 +285,17 @@
         alone.at = max(alone.at, now)
         if alone.backed and now - alone.since < ALONE_S and alone.level > 0 and self._roles.fresh(now):
             alone.level -= entry.amount
-            state.used.add(now, entry.amount)
-            return QuotaDecided(entry.number, True, 0.0)
+        elif not self._unbacked(state, entry.amount, now):
+            return QuotaDecided(entry.number, False, RETRY_ALONE_S)
+        state.used.add(now, entry.amount)
+        state.unknown += entry.amount
+        return QuotaDecided(entry.number, True, 0.0)
+
+    def _unbacked(self, state: _Tenant, amount: float, now: float) -> bool:
+        """Whether an amount fits into this gateway's part of the allowance; counts it then."""
         allowance = self._rule.allowance(state.limit)
         most = max(state.share * LOCAL_PART, NEWCOMER_PART / self._roles.size) * allowance
-        if state.unbacked.total(now) + entry.amount <= most:
-            state.unbacked.add(now, entry.amount)
-            state.used.add(now, entry.amount)
-            return QuotaDecided(entry.number, True, 0.0)
-        return QuotaDecided(entry.number, False, RETRY_ALONE_S)
+        if state.unbacked.total(now) + amount > most:
+            return False
+        state.unbacked.add(now, amount)
+        return True
--- a/roselink/membership/repeats.py
+++ b/roselink/membership/repeats.py
@@ -46,6 +46,12 @@
         for service in owned - self._services.keys():
             self._services[service] = _Lent(now)
 
+    def end_terms(self, silent_s: float) -> None:
+        """This gateway's view was not confirmed for so long. Another owner lends `FIRST_PART` at most within
+        half a window, so only longer gaps end the terms."""
+        if silent_s >= self._window_s / 2:
+            self._services.clear()
+
     def ask(self, ask: RepeatAsk, now: float) -> RepeatAnswer:
         """Decide; the caller has judged the token."""
         lent = self._services.get(ask.service)
--- a/roselink/membership/roles.py
+++ b/roselink/membership/roles.py
@@ -40,31 +40,34 @@
     def __init__(self, own: Member) -> None:
         self.own = own
         self.token = 0
-        self._roster: tuple[Member, ...] = ()
+        self.roster: tuple[Member, ...] = ()
         self._confirmed_at = float("-inf")
         self._owners: dict[str, Member | None] = {}
 
     @property
     def size(self) -> int:
         """How many gateways are live; 1 at least."""
-        return max(1, len(self._roster))
+        return max(1, len(self.roster))
 
     def update(self, token: int, roster: tuple[Member, ...]) -> bool:
         """Take over a roster; an older one changes nothing. Returns whether it is new."""
         if token <= self.token:
             return False
-        self.token, self._roster = token, roster
+        self.token, self.roster = token, roster
         self._owners.clear()
         return True
 
-    def confirm(self, at: float) -> None:
-        """The view in force was the newest after `at`."""
+    def confirm(self, at: float, now: float) -> float:
+        """The view in force was the newest after `at`. Returns for how long it had not been confirmed, in
+        seconds; from `FRESH_S` on another may have owned this gateway's roles meanwhile."""
+        silent_s = now - self._confirmed_at
         self._confirmed_at = max(self._confirmed_at, at)
+        return silent_s
 
     def find(self, key: str) -> Ownership | None:
         """The owner of a key as far as known here."""
         if key not in self._owners:
-            self._owners[key] = owner_of(key, self._roster)
+            self._owners[key] = owner_of(key, self.roster)
         owner = self._owners[key]
         return None if owner is None else Ownership(owner, self.token)
 
--- a/roselink/membership/usage.py
+++ b/roselink/membership/usage.py
@@ -1,17 +1,14 @@
-"""What was admitted lately, in slots of time, and how a token bucket stands after it."""
+"""The quota rule's figures, and what was admitted lately, in slots of time."""
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from roselink.protocol.ledger import Used
 
 SLOT_S = 0.5
 
-Event = tuple[float, float]  # when, how much
-
 
 @dataclass(frozen=True, slots=True)
 class Limit:
@@ -35,7 +32,7 @@
 
 
 # How the allowance is shared out; the parts sum up to 1.
-START_PART = 0.35  # the level at the start of an owner's term: use by gateways that are gone may be unknown
+START_PART = 0.35  # the level at the start of a term, where nobody knows how the owner before stood
 GRACE_PART = 0.15  # on top of the exact bucket: requests cross each other on their way
 LOCAL_PART = 0.4  # what gateways together admit without an owner and without its holding back for them
 NEWCOMER_PART = 0.1  # the same, for gateways that had no use of the tenant lately
@@ -75,24 +72,7 @@
             self._total = 0.0
         return self._total
 
-    def events(self, now: float) -> list[Event]:
-        """Each slot of the last window: its newest moment, and its sum."""
-        self.total(now)
-        return [(min(now, end), amount) for end, amount in self._slots]
-
     def report(self, now: float) -> tuple[Used, ...]:
         """The last window as it is told to an owner."""
-        return tuple(Used(int((now - at) * 1000), amount) for at, amount in self.events(now))
-
-
-def replay(events: Iterable[Event], level: float, begin: float, now: float, limit: Limit) -> float:
-    """The level of a token bucket at `now` that held `level` at `begin`; earlier events are passed over.
-
-    Below 0 where more was admitted than it held.
-    """
-    at = begin
-    for when, amount in sorted(events):
-        if when > begin:
-            level = min(limit.burst, level + limit.rate_per_s * (when - at)) - amount
-            at = when
-    return min(limit.burst, level + limit.rate_per_s * max(0.0, now - at))
+        self.total(now)
+        return tuple(Used(int(max(0.0, now - end) * 1000), amount) for end, amount in self._slots)
--- a/roselink/protocol/ledger.py
+++ b/roselink/protocol/ledger.py
@@ -31,14 +31,25 @@
     amount: float
 
 
+@record(101)
+@dataclass(frozen=True, slots=True)
+class Level:
+    """How an owner's bucket stood so long ago. `term` names that owner's term."""
+
+    term: int
+    level: float
+    age_ms: int
+
+
 @record(97)
 @dataclass(frozen=True, slots=True)
 class QuotaAsk:
     """Whether these amounts may run now, each decided by itself and in order.
 
     `ahead`: tokens wanted on top, to be used within the lease. `returned`: tokens admitted or lent before
-    that weren't used. `report`: all that the asker admitted in the last window, where the owner may not
-    know it.
+    that weren't used. `alone`: admitted by the asker itself since an owner last answered. `leaving`: the
+    asker drains and admits nothing by itself. `known`: the last answer's level. `report`: all that the
+    asker admitted in the last window, where the owner may not know it.
     """
 
     tenant: str
@@ -48,6 +59,9 @@
     amounts: tuple[float, ...]
     ahead: float
     returned: float
+    alone: float
+    leaving: bool
+    known: Level | None
     report: tuple[Used, ...] | None
 
 
@@ -56,16 +70,18 @@
 class QuotaAnswer:
     """`admitted` has one decision an amount. `retry_after_s`: when the first refused one may come again.
 
-    `share`: the asker's part (0 to 1) of what all gateways admitted of the tenant in the last window. `token`
-    is the owner's.
+    `share`: the asker's part (0 to 1) of what all gateways admitted of the tenant in the last window. `term`
+    and `level` are the bucket's, after these decisions. `token` is the owner's.
     """
 
     verdict: Verdict
     token: int
-    admitted: tuple[bool, ...]
-    ahead: float
-    retry_after_s: float
-    share: float
+    admitted: tuple[bool, ...] = ()
+    ahead: float = 0.0
+    retry_after_s: float = 0.0
+    share: float = 0.0
+    term: int = 0
+    level: float = 0.0
 
 
 @record(99)
--- a/roselink/router/app.py
+++ b/roselink/router/app.py
@@ -69,6 +69,7 @@
     await stopping.wait()
     log.info("draining")
     data_plane.begin_drain()
+    control.budgets.begin_drain()
     control.puller.set_serving(False)
     await data_plane.drained()
     data_plane.stop()
--- /dev/null
+++ b/tests/membership/checks.py
@@ -0,0 +1,43 @@
+"""Independent checkers of the rules, on lists of what was admitted."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from tests.membership.fleet import Decision
+
+
+def largest_window(events: Iterable[tuple[float, float]], window_s: float) -> float:
+    """The largest sum of amounts within any span of the window's length."""
+    ordered = sorted(events)
+    largest = total = 0.0
+    first = 0
+    for at, amount in ordered:
+        total += amount
+        while ordered[first][0] <= at - window_s:
+            total -= ordered[first][1]
+            first += 1
+        largest = max(largest, total)
+    return largest
+
+
+def admitted(decisions: Iterable[Decision], tenant: str) -> list[tuple[float, float]]:
+    """When and how much ran."""
+    return [
+        (entry.decided_at, entry.amount) for entry in decisions if entry.tenant == tenant and entry.allowed
+    ]
+
+
+def within_limit(decisions: Iterable[Decision], tenant: str, rate: float, burst: float) -> list[Decision]:
+    """The requests that an exact bucket, fed in the order of arrival, lets pass."""
+    level, at = burst, 0.0
+    passed = []
+    for entry in sorted(decisions, key=lambda decision: decision.asked_at):
+        if entry.tenant != tenant:
+            continue
+        level = min(burst, level + rate * (entry.asked_at - at))
+        at = entry.asked_at
+        if level >= entry.amount:
+            level -= entry.amount
+            passed.append(entry)
+    return passed
--- /dev/null
+++ b/tests/membership/fleet.py
@@ -0,0 +1,277 @@
+"""A fleet of gateways in one process, on a made-up clock: the real machines, and a network that fails.
+
+The core is played by its outcome: whoever has not pulled for `CORE_MISSES_S` leaves the roster. What requests
+were admitted is kept for checkers, which share no code with the machines.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from roselink.membership import quota_client, repeats
+from roselink.membership.ledger import QuotaLedger
+from roselink.membership.quota_client import QuotaClient, QuotaDecided, SendQuotaAsk
+from roselink.membership.repeats import (
+    RefreshRoster,
+    RepeatClient,
+    RepeatDecided,
+    RepeatLedger,
+    SendRepeatAsk,
+)
+from roselink.membership.roles import FRESH_S, Roles
+from roselink.membership.usage import Limit, QuotaRule
+from roselink.model.fleet import Member
+from roselink.protocol.ledger import QuotaAnswer, QuotaAsk, RepeatAnswer, RepeatAsk, Verdict
+
+PULL_S = 0.2
+CORE_MISSES_S = 1.2
+LINK_S = 0.0014
+Step = Callable[[], None]
+
+
+@dataclass
+class Decision:
+    """One request, as its client saw it."""
+
+    tenant: str
+    gateway: int
+    amount: float
+    asked_at: float
+    decided_at: float
+    allowed: bool
+    retry_after_s: float
+
+
+@dataclass
+class Fleet:
+    """The network, the core, the gateways, and what they decided."""
+
+    size: int
+    seed: int
+    limits: dict[str, Limit]
+    rule: QuotaRule
+    services: tuple[str, ...] = ()
+    slack: float = 0.0
+    retry_window_s: float = 10.0
+    now: float = 100.0
+    decisions: list[Decision] = field(default_factory=list)
+    repeats: list[tuple[float, str]] = field(default_factory=list)
+    asks: int = 0
+
+    def __post_init__(self) -> None:
+        self.chance = random.Random(self.seed)
+        self._events: list[tuple[float, int, Step]] = []
+        self._count = 0
+        self.version = 0
+        self.roster: tuple[Member, ...] = ()
+        self.heard: dict[Member, float] = {}
+        self.cuts: set[frozenset[int]] = set()  # pairs of gateways; -1 is the core
+        self.gateways = [Gateway(self, index) for index in range(self.size)]
+        for gateway in self.gateways:
+            gateway.begin()
+
+    def at(self, when: float, step: Step) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (max(when, self.now), self._count, step))
+
+    def run(self, until: float) -> None:
+        while self._events and self._events[0][0] <= until:
+            self.now, _, step = heapq.heappop(self._events)
+            step()
+        self.now = until
+
+    def reachable(self, one: int, other: int) -> bool:
+        return frozenset((one, other)) not in self.cuts
+
+    def pull(self, member: Member, serving: bool) -> None:
+        """The core hears a gateway, and forgets those that were silent."""
+        self.heard[member] = self.now if serving else float("-inf")
+        live = [known for known, at in self.heard.items() if self.now - at < CORE_MISSES_S]
+        newest: dict[str, Member] = {known.name: known for known in live}
+        roster = tuple(sorted(newest.values(), key=lambda known: known.name))
+        if roster != self.roster:
+            self.version, self.roster = self.version + 1, roster
+
+    def call(
+        self, caller: Gateway, address: str, ask: Any, timeout_s: float, done: Callable[[Any], None]
+    ) -> None:
+        """As `PeerPool.call` has it: `done` runs once, at the caller."""
+        self.asks += 1
+        life, callee = caller.life, self.gateways[int(address)]
+        open_call = [True]
+
+        def settle(answer: Any) -> None:
+            if open_call[0] and caller.life == life:
+                open_call[0] = False
+                done(answer)
+
+        def back(answer: Any) -> None:
+            if self.reachable(caller.index, callee.index):
+                caller.when_awake(self.now + LINK_S, lambda: settle(answer))
+
+        def deliver() -> None:
+            if callee.alive:
+                back(callee.serve(ask))
+            else:
+                back(None)
+
+        caller.when_awake(self.now + timeout_s, lambda: settle(None))
+        if caller is callee:
+            settle(callee.serve(ask))
+        elif self.reachable(caller.index, callee.index):
+            callee.when_awake(self.now + LINK_S, deliver)
+
+
+class Gateway:
+    """One gateway: its machines, and whether it runs."""
+
+    def __init__(self, fleet: Fleet, index: int) -> None:
+        self.fleet, self.index = fleet, index
+        self.life = 0
+        self.alive = False
+        self.frozen_until = 0.0
+        self.serving = True
+
+    def begin(self) -> None:
+        fleet = self.fleet
+        self.life += 1
+        self.alive, self.serving = True, True
+        self.member = Member(f"edge-{self.index}", str(self.index), self.life)
+        self.roles = Roles(self.member)
+        self.ledger, self.client = (
+            QuotaLedger(fleet.rule, 1000 * self.life + self.index),
+            QuotaClient(self.roles, fleet.rule),
+        )
+        self.repeat_ledger = RepeatLedger(fleet.retry_window_s, fleet.slack)
+        self.repeat_client = RepeatClient(self.roles, fleet.retry_window_s, fleet.slack)
+        self._asked: dict[int, tuple[str, float, float]] = {}
+        self._repeats: dict[int, str] = {}
+        self._numbers = 0
+        self._wake_at = float("inf")
+        self.configure(fleet.limits)
+        self.later(fleet.chance.random() * 0.05, self.pull)
+
+    def leave(self) -> None:
+        """SIGTERM: no roles any more, and soon the end."""
+        self.serving, self.client.leaving = False, True
+        self.pull(again=False)
+
+    def end(self) -> None:
+        """A kill: all that it knew is gone."""
+        self.alive = False
+        self.life += 1
+
+    def when_awake(self, when: float, step: Step) -> None:
+        def attempt() -> None:
+            if self.fleet.now < self.frozen_until:
+                self.fleet.at(self.frozen_until, attempt)
+            else:
+                step()
+
+        self.fleet.at(when, attempt)
+
+    def later(self, delay_s: float, step: Step) -> None:
+        life = self.life
+
+        def attempt() -> None:
+            if self.life == life:
+                step()
+
+        self.when_awake(self.fleet.now + delay_s, attempt)
+
+    def configure(self, limits: dict[str, Limit]) -> None:
+        self.ledger.configure(limits, self.fleet.now)
+        self.perform(self.client.configure(limits, self.fleet.now))
+
+    def pull(self, again: bool = True) -> None:
+        fleet, sent_at = self.fleet, self.fleet.now
+        if fleet.reachable(self.index, -1):
+            fleet.pull(self.member, self.serving)
+            version, roster = fleet.version, fleet.roster
+            self.later(2 * LINK_S, lambda: self.pulled(version, roster, sent_at))
+        if again:
+            self.later(PULL_S * fleet.chance.uniform(0.8, 1.2), self.pull)
+
+    def pulled(self, version: int, roster: tuple[Member, ...], sent_at: float) -> None:
+        now = self.fleet.now
+        self.roles.update(version, roster)
+        silent_s = self.roles.confirm(sent_at, now)
+        if silent_s >= FRESH_S:
+            self.ledger.end_terms()
+            self.repeat_ledger.end_terms(silent_s)
+        tenants = [name for name in self.fleet.limits if self.roles.owns(quota_client.KEY_PREFIX + name)]
+        self.ledger.own(tenants, roster, now)
+        services = [name for name in self.fleet.services if self.roles.owns(repeats.KEY_PREFIX + name)]
+        self.repeat_ledger.own(services, now)
+
+    def serve(self, ask: Any) -> Any:
+        now = self.fleet.now
+        if isinstance(ask, QuotaAsk):
+            verdict = self.roles.judge(quota_client.KEY_PREFIX + ask.tenant, ask.token, now)
+            if verdict is Verdict.DECIDED:
+                return self.ledger.ask(ask, now)
+            return QuotaAnswer(verdict, self.roles.token)
+        assert isinstance(ask, RepeatAsk)
+        verdict = self.roles.judge(repeats.KEY_PREFIX + ask.service, ask.token, now)
+        if verdict is Verdict.DECIDED:
+            return self.repeat_ledger.ask(ask, now)
+        return RepeatAnswer(verdict, self.roles.token, False, 0.0)
+
+    def request(self, tenant: str, amount: float) -> None:
+        """A client's request; one that reaches a dead process is lost."""
+        life, asked_at = self.life, self.fleet.now
+
+        def arrive() -> None:
+            if self.life == life and self.alive:
+                self._numbers += 1
+                self._asked[self._numbers] = (tenant, amount, asked_at)
+                self.perform(self.client.admit(self._numbers, tenant, amount, self.fleet.now))
+
+        self.when_awake(self.fleet.now, arrive)
+
+    def repeat(self, service: str) -> None:
+        if self.alive and self.fleet.now >= self.frozen_until:
+            self._numbers += 1
+            self._repeats[self._numbers] = service
+            self.perform(self.repeat_client.ask(self._numbers, service, self.fleet.now))
+
+    def perform(self, effects: Iterable[Any]) -> None:
+        fleet = self.fleet
+        for effect in effects:
+            match effect:
+                case QuotaDecided(number, allowed, retry_after_s):
+                    tenant, amount, asked_at = self._asked.pop(number)
+                    fleet.decisions.append(
+                        Decision(tenant, self.index, amount, asked_at, fleet.now, allowed, retry_after_s)
+                    )
+                case RepeatDecided(number, allowed):
+                    service = self._repeats.pop(number)
+                    if allowed:
+                        fleet.repeats.append((fleet.now, service))
+                case SendQuotaAsk(call, address, ask, timeout_s):
+                    fleet.call(self, address, ask, timeout_s, self._quota_done(call))
+                case SendRepeatAsk(number, address, repeat_ask):
+                    fleet.call(self, address, repeat_ask, 0.1, self._repeat_done(number))
+                case RefreshRoster():
+                    self.later(0.05, lambda: self.pull(again=False))
+        self._schedule()
+
+    def _quota_done(self, call: int) -> Callable[[Any], None]:
+        return lambda answer: self.perform(self.client.answered(call, answer, self.fleet.now))
+
+    def _repeat_done(self, number: int) -> Callable[[Any], None]:
+        return lambda answer: self.perform(self.repeat_client.answered(number, answer, self.fleet.now))
+
+    def _schedule(self) -> None:
+        due = self.client.due_at(self.fleet.now)
+        if due < self._wake_at:
+            self._wake_at = due
+            self.later(max(0.001, due - self.fleet.now), self._wake)
+
+    def _wake(self) -> None:
+        self._wake_at = float("inf")
+        self.perform(self.client.wake(self.fleet.now))
