Data plane: attempts and the decider's queue in modules of their own; faults cost one request

A quota that raised would have been answered a second time when its time was up; a decider that sends without end stopped the loop; a lease that ended called off what was sent before. Each has its test.

--- /dev/null
+++ b/roselink/dataplane/attempts.py
@@ -0,0 +1,146 @@
+"""Attempts of requests at hosts: started when the decider says so, reported to it exactly once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Mapping
+from functools import partial
+from typing import Protocol
+
+from roselink.dataplane.exchange import AnswerMode, AttemptAnswer, Exchange
+from roselink.dataplane.requests import attempt_head
+from roselink.dataplane.upstream import FleetAttempt, FleetHost, FleetUpstream
+from roselink.routing.decisions import AttemptEnded, Event, FirstEvent, SendAttempt
+from roselink.routing.interface import NEVER_RAN, Outcome
+
+HOST_MARGIN_MS = 5  # hosts are told so much less: what they say at their deadline is still passed on
+OVER_S = 1.0  # an attempt that nothing else has ended ends so long after its request's deadline
+
+
+class Owner(Protocol):
+    """Who has the requests."""
+
+    counts: Counter[str]
+
+    def feed(self, event: Event) -> None: ...
+
+    def wanted(self, exchange: Exchange) -> bool: ...
+
+    def settle(self, exchange: Exchange) -> None: ...
+
+
+class Attempts:
+    """Starts attempts and judges their ends."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        upstream: FleetUpstream,
+        hosts: Mapping[str, FleetHost],
+        owner: Owner,
+    ) -> None:
+        self._loop, self._upstream, self._hosts, self._owner = loop, upstream, hosts, owner
+
+    def send(self, exchange: Exchange | None, action: SendAttempt) -> None:
+        """Begin one, or report that it is moot: its request is over, its host gone, or its key doubtful."""
+        host = self._hosts.get(action.host)
+        if exchange is not None:
+            exchange.sends += 1
+        if exchange is None or host is None or not self._may_send(exchange, host):
+            self._owner.feed(AttemptEnded(action.number, action.attempt, Outcome.MOOT, 0.0))
+            if exchange is not None:
+                self._owner.settle(exchange)
+            return
+        now, resume = self._loop.time(), exchange.begun
+        answer = AttemptAnswer(exchange, action.attempt, resume, now, self._first_event, self._ended)
+        answer.attempt = FleetAttempt(
+            self._loop,
+            host,
+            exchange.request.id,
+            exchange.request.method == b"HEAD",
+            exchange.expires_at + OVER_S - now,
+            answer,
+            partial(self._owner.wanted, exchange),
+        )
+        exchange.attempts[action.attempt] = answer
+        self._owner.counts["resumed" if resume else "attempts"] += 1
+        self._upstream.begin(answer.attempt, partial(self._render, exchange, host, resume))
+
+    def _may_send(self, exchange: Exchange, host: FleetHost) -> bool:
+        if exchange.closed or host.service != exchange.service or exchange.exhausted:
+            return False
+        if exchange.begun:
+            in_time = self._loop.time() < exchange.expires_at and exchange.broken and exchange.can_resume
+        else:
+            in_time = self._loop.time() < exchange.give_up_at
+        return in_time and self._owner.wanted(exchange)
+
+    def _render(self, exchange: Exchange, host: FleetHost, resume: bool) -> bytes:
+        """The request as a host gets it now."""
+        left_ms = max(1, int((exchange.give_up_at - self._loop.time()) * 1000) - HOST_MARGIN_MS)
+        last = exchange.request.last_event_id
+        if resume:
+            last = b"%d" % (exchange.progress.last_id or 0)
+        return exchange.base + attempt_head(host.name, left_ms, last) + exchange.request.body
+
+    def _first_event(self, answer: AttemptAnswer) -> None:
+        self._owner.feed(FirstEvent(answer.exchange.number, answer.number))
+
+    def _ended(self, answer: AttemptAnswer, outcome: Outcome) -> None:
+        exchange = answer.exchange
+        exchange.attempts.pop(answer.number, None)
+        if answer.sent and outcome not in NEVER_RAN:
+            exchange.may_have_run = True
+        relayed = False
+        if outcome is Outcome.SUCCESS and not self._succeeded(answer):
+            outcome = Outcome.RESET
+        elif outcome is Outcome.ERROR:
+            relayed = self._failed(answer)
+        elif outcome is Outcome.CANCELLED and answer.spoilt:
+            outcome = Outcome.RESET
+        if answer.progressed and not exchange.closed:
+            exchange.stopped, exchange.broken = True, exchange.can_resume
+        self._owner.counts[f"attempt_{outcome.value}"] += 1
+        answer.attempt = None
+        self._owner.feed(
+            AttemptEnded(
+                exchange.number,
+                answer.number,
+                outcome,
+                max(0.0, self._loop.time() - answer.started),
+                progressed=answer.progressed or (answer.resumed and exchange.begun),
+                relayed=relayed,
+                wrong_host=outcome is Outcome.FULL and answer.status == 421,
+            )
+        )
+        self._owner.settle(exchange)
+
+    def _succeeded(self, answer: AttemptAnswer) -> bool:
+        """A whole answer with its stamp: pass on what of it has not gone on. False if it turns out cut."""
+        exchange = answer.exchange
+        if exchange.closed or not answer.may_go_on:
+            return True
+        if answer.mode is AnswerMode.HOLD:
+            exchange.client.whole(*answer.whole())
+        elif answer.finish_stream():
+            exchange.client.end()
+        else:
+            return False
+        self._owner.counts["served"] += 1
+        exchange.closed = True
+        return True
+
+    def _failed(self, answer: AttemptAnswer) -> bool:
+        """A whole answer that is no success. A host's 4xx is the client's own; a failure is kept while the
+        decider may try again. Whether the client has it."""
+        exchange, failure = answer.exchange, answer.failure()
+        if failure is None or exchange.closed or exchange.begun:
+            return False
+        if failure.status >= 500:
+            exchange.held = failure
+            return False
+        exchange.client.whole(*failure)
+        self._owner.counts["relayed"] += 1
+        exchange.closed = True
+        return True
--- a/roselink/dataplane/engine.py
+++ b/roselink/dataplane/engine.py
@@ -11,7 +11,7 @@
 import itertools
 import logging
 import random
-from collections import Counter, deque
+from collections import Counter
 from functools import partial
 
 from roselink.dataplane.admission import (
@@ -24,21 +24,22 @@
     give_up_at,
     judge,
 )
-from roselink.dataplane.exchange import AnswerMode, AttemptAnswer, ClientAnswer, Exchange
+from roselink.dataplane.attempts import Attempts
+from roselink.dataplane.exchange import ClientAnswer, Exchange
 from roselink.dataplane.interfaces import Authority, Decisions, Quotas, SharedBudget
-from roselink.dataplane.requests import ProxyRequest, attempt_head, host_head
+from roselink.dataplane.queue import EventQueue
+from roselink.dataplane.requests import ProxyRequest, host_head
 from roselink.dataplane.routes import RouteTable
 from roselink.dataplane.topology import HostDirectory
-from roselink.dataplane.upstream import FleetAttempt, FleetHost, FleetUpstream
+from roselink.dataplane.upstream import FleetUpstream
+from roselink.model.configuration import Tenant
 from roselink.routing.decisions import (
     Action,
     AskSharedBudget,
-    AttemptEnded,
     BudgetDecided,
     CancelAttempt,
     Event,
     FinalAnswer,
-    FirstEvent,
     GiveUp,
     RequestArrived,
     RequestClosed,
@@ -47,12 +48,11 @@
     TimerFired,
     TopologyChanged,
 )
-from roselink.routing.interface import NEVER_RAN, Outcome
+from roselink.routing.interface import Outcome
 
 log = logging.getLogger("roselink.dataplane")
 
 STREAM_OVER_S = 0.1  # a running stream ends so long after its deadline
-HOST_MARGIN_MS = 5  # hosts are told so much less: what they say at their deadline is still passed on
 
 
 class Engine:
@@ -68,12 +68,11 @@
         budget: SharedBudget,
         seed: int,
     ) -> None:
-        self._loop, self._decider, self._upstream = loop, decider, upstream
+        self._loop = loop
         self._authority, self._quotas, self._budget = authority, quotas, budget
         self._random = random.Random(seed)
         self._numbers = itertools.count(1)
-        self._events: deque[Event] = deque()
-        self._busy = False
+        self._queue = EventQueue(loop, decider, self._perform, self._fail)
         self._ends_at: float | None = None  # while draining: when all must have their answer
         self._topology: TopologyChanged | None = None
         self.table: RouteTable | None = None
@@ -81,6 +80,7 @@
         self.hosts = self.directory.hosts
         self.open: dict[int, Exchange] = {}
         self.counts: Counter[str] = Counter()
+        self._attempts = Attempts(loop, upstream, self.hosts, self)
 
     # From the authority.
 
@@ -95,14 +95,9 @@
         told = TopologyChanged(snapshot.hosts, snapshot.configuration.services)
         if told != self._topology:
             self._topology = told
-            self._events.append(told)
-        busy, self._busy = self._busy, True
-        try:
+            self._queue.add(told)
+        with self._queue.held():
             self.directory.update(snapshot)
-        finally:
-            self._busy = busy
-        if not busy:
-            self._run()
 
     # From the client side.
 
@@ -136,9 +131,16 @@
         if tenant is None or tenant.rate_per_s <= 0:
             self._admitted(exchange, True, 0.0)
         else:
-            self._quotas.admit(tenant, amount_of(request, tenant), partial(self._admitted, exchange))
+            self._ask_quota(exchange, tenant)
         return None if exchange.closed else exchange
 
+    def _ask_quota(self, exchange: Exchange, tenant: Tenant) -> None:
+        try:
+            self._quotas.admit(tenant, amount_of(exchange.request, tenant), partial(self._admitted, exchange))
+        except Exception:  # it must not be answered twice: here, and when its time is up
+            log.exception("the quota of %s failed", tenant.name)
+            self._give_up(exchange, GiveUp.NOT_RUN, NOT_CONFIRMED_RETRY_S)
+
     def _admitted(self, exchange: Exchange, allowed: bool, retry_after_s: float) -> None:
         if exchange.closed or exchange.facts is not None:
             return
@@ -186,37 +188,8 @@
     # The decider.
 
     def feed(self, event: Event) -> None:
-        """Give the decider one event and carry out what it says. What an action brings about at once is fed
-        after it, in order, never from inside the decider."""
-        self._events.append(event)
-        if not self._busy:
-            self._run()
-
-    def _run(self) -> None:
-        self._busy = True
-        try:
-            while self._events:
-                self._step(self._events.popleft())
-        finally:
-            self._busy = False
-
-    def _step(self, event: Event) -> None:
-        try:
-            actions = self._decider.handle(self._loop.time(), event)
-        except Exception:  # one request's fault must not take the gateway down
-            log.exception("the decider failed on %s", type(event).__name__)
-            if isinstance(event, RequestArrived):
-                self._fail(event.facts.number)
-            elif isinstance(event, AttemptEnded | BudgetDecided | FirstEvent):
-                self._fail(event.number)
-            return
-        for action in actions:
-            try:
-                self._perform(action)
-            except Exception:
-                log.exception("could not carry out %s", type(action).__name__)
-                if not isinstance(action, StartTimer):
-                    self._fail(action.number)
+        """Give the decider one event and carry out what it says."""
+        self._queue.feed(event)
 
     def _fail(self, number: int) -> None:
         exchange = self.open.get(number)
@@ -229,7 +202,7 @@
             return
         exchange = self.open.get(action.number)
         if isinstance(action, SendAttempt):
-            self._send(exchange, action)
+            self._attempts.send(exchange, action)
         elif exchange is None:
             return
         elif isinstance(action, CancelAttempt):
@@ -244,50 +217,9 @@
     def _budget_decided(self, number: int, allowed: bool) -> None:
         self.feed(BudgetDecided(number, allowed))
 
-    # Attempts.
-
-    def _send(self, exchange: Exchange | None, action: SendAttempt) -> None:
-        host = self.hosts.get(action.host)
-        if (
-            exchange is None
-            or exchange.closed
-            or host is None
-            or host.service != exchange.service
-            or self._loop.time() >= (exchange.expires_at if exchange.begun else exchange.give_up_at)
-            or (exchange.begun and not (exchange.broken and exchange.can_resume))
-            or not self._wanted(exchange)
-        ):
-            self._events.append(AttemptEnded(action.number, action.attempt, Outcome.MOOT, 0.0))
-            if exchange is not None and exchange.distrusted:
-                self._give_up(exchange, GiveUp.NOT_RUN, NOT_CONFIRMED_RETRY_S)
-            return
-        now, resume = self._loop.time(), exchange.begun
-        answer = AttemptAnswer(exchange, action.attempt, resume, now, self._first_event, self._ended)
-        attempt = FleetAttempt(
-            self._loop,
-            host,
-            exchange.request.id,
-            exchange.request.method == b"HEAD",
-            exchange.expires_at + 1.0 - now,
-            answer,
-            partial(self._wanted, exchange),
-        )
-        answer.attempt = attempt
-        exchange.attempts[action.attempt] = answer
-        self.counts["attempts"] += 1
-        if resume:
-            self.counts["resumed"] += 1
-        self._upstream.begin(attempt, partial(self._render, exchange, host, resume))
-
-    def _render(self, exchange: Exchange, host: FleetHost, resume: bool) -> bytes:
-        """The request as a host gets it now."""
-        left_ms = max(1, int((exchange.give_up_at - self._loop.time()) * 1000) - HOST_MARGIN_MS)
-        last = exchange.request.last_event_id
-        if resume:
-            last = b"%d" % (exchange.progress.last_id or 0)
-        return exchange.base + attempt_head(host.name, left_ms, last) + exchange.request.body
-
-    def _wanted(self, exchange: Exchange) -> bool:
+    # What the attempts ask and tell.
+
+    def wanted(self, exchange: Exchange) -> bool:
         """Asked right before each write to a host: does someone wait, and does the key still count."""
         if exchange.closed:
             return False
@@ -303,73 +235,18 @@
         held = self.table is not None and self.table.tenant(exchange.request.key) is not None
         return held and self._authority.may_use_keys()
 
-    def _first_event(self, answer: AttemptAnswer) -> None:
-        self.feed(FirstEvent(answer.exchange.number, answer.number))
-
-    def _ended(self, answer: AttemptAnswer, outcome: Outcome) -> None:
-        exchange = answer.exchange
-        exchange.attempts.pop(answer.number, None)
-        if answer.sent and outcome not in NEVER_RAN:
-            exchange.may_have_run = True
-        relayed = False
-        if outcome is Outcome.SUCCESS and not self._succeeded(answer):
-            outcome = Outcome.RESET
-        elif outcome is Outcome.ERROR:
-            relayed = self._failed(answer)
-        elif outcome is Outcome.CANCELLED and answer.spoilt:
-            outcome = Outcome.RESET
-        cut = answer.progressed and not exchange.closed
-        if cut:
-            exchange.broken = exchange.can_resume
-        self.counts[f"attempt_{outcome.value}"] += 1
-        answer.attempt = None
-        self.feed(
-            AttemptEnded(
-                exchange.number,
-                answer.number,
-                outcome,
-                max(0.0, self._loop.time() - answer.started),
-                progressed=answer.progressed or (answer.resumed and exchange.begun),
-                relayed=relayed,
-                wrong_host=outcome is Outcome.FULL and answer.status == 421,
-            )
-        )
+    def settle(self, exchange: Exchange) -> None:
+        """Behind the end of an attempt: end the request if that leaves it no way to go on."""
         if exchange.closed:
             self._close(exchange)
-        elif cut and not exchange.broken:
+        elif exchange.begun and exchange.stopped and not exchange.broken:
             self._give_up(exchange, GiveUp.MAY_HAVE_RUN, 0.0)
-        elif exchange.distrusted:
+        elif exchange.exhausted and not exchange.attempts:
+            log.error("request %d: sent without end", exchange.number)
+            self._give_up(exchange, GiveUp.OUT_OF_TIME, 0.0)
+        elif exchange.distrusted and not exchange.attempts:
             self._give_up(exchange, GiveUp.NOT_RUN, NOT_CONFIRMED_RETRY_S)
 
-    def _succeeded(self, answer: AttemptAnswer) -> bool:
-        """A whole answer with its stamp: pass on what of it has not gone on. False if it turns out cut."""
-        exchange = answer.exchange
-        if exchange.closed or not answer.may_go_on:
-            return True
-        if answer.mode is AnswerMode.HOLD:
-            exchange.client.whole(*answer.whole())
-        elif answer.finish_stream():
-            exchange.client.end()
-        else:
-            return False
-        self.counts["served"] += 1
-        exchange.closed = True
-        return True
-
-    def _failed(self, answer: AttemptAnswer) -> bool:
-        """A whole answer that is no success. A host's 4xx is the client's own; a failure is kept while the
-        decider may try again. Whether the client has it."""
-        exchange, failure = answer.exchange, answer.failure()
-        if failure is None or exchange.closed or exchange.begun:
-            return False
-        if failure.status >= 500:
-            exchange.held = failure
-            return False
-        exchange.client.whole(*failure)
-        self.counts["relayed"] += 1
-        exchange.closed = True
-        return True
-
     # The end of a request.
 
     def _give_up(self, exchange: Exchange, reason: GiveUp, retry_after_s: float) -> None:
@@ -403,10 +280,9 @@
             exchange.guard.cancel()
             exchange.guard = None
         if exchange.facts is not None:
-            self._events.append(RequestClosed(exchange.number))
+            self._queue.add(RequestClosed(exchange.number))
         for answer in list(exchange.attempts.values()):
             if answer.attempt is not None:
                 answer.attempt.cancel()
         exchange.owner = None  # nothing is left that refers in circles: no work for the collector
-        if not self._busy:
-            self._run()
+        self._queue.run()
--- a/roselink/dataplane/exchange.py
+++ b/roselink/dataplane/exchange.py
@@ -18,6 +18,7 @@
 from roselink.routing.decisions import RequestFacts
 from roselink.routing.interface import NEVER_RAN, Outcome
 
+SENDS_MOST = 64  # attempts of one request: a decider that never stops must not stop the loop
 HOLD_LIMIT = 256 * 1024  # bytes of an answer that wait here for the rest of it
 
 
@@ -79,7 +80,9 @@
         self.attempts: dict[int, AttemptAnswer] = {}
         self.owner: AttemptAnswer | None = None  # whose answer goes on
         self.begun = self.closed = False
-        self.broken = False  # the stream that goes on was cut, and may be taken up
+        self.stopped = False  # the attempt whose answer went on has ended without its end
+        self.broken = False  # then: another attempt may take it up
+        self.sends = 0  # attempts asked for
         self.may_have_run = False  # by an attempt that has ended
         self.distrusted = False  # its key may not be used any more
         self.held: HeldAnswer | None = None
@@ -96,6 +99,11 @@
         """Whether a host may have run it, or may yet."""
         return self.may_have_run or any(answer.sent for answer in self.attempts.values())
 
+    @property
+    def exhausted(self) -> bool:
+        """Whether more attempts were asked for than make sense."""
+        return self.sends > SENDS_MOST
+
     @property
     def can_resume(self) -> bool:
         return self.begun and self.route.resumable and self.streaming and self.progress.resumable
@@ -203,7 +211,7 @@
             return False
         if exchange.owner is self:
             return True
-        exchange.owner, exchange.broken = self, False
+        exchange.owner, exchange.stopped, exchange.broken = self, False, False
         if not exchange.begun:
             exchange.begun = True
             exchange.client.begin(self.status, relayed_headers(self.headers), length)
--- a/tests/dataplane/stage.py
+++ b/tests/dataplane/stage.py
@@ -84,6 +84,7 @@
         self.hosts: list[str] = []
         self.facts: dict[int, RequestFacts] = {}
         self.sent: dict[int, int] = {}
+        self.out: dict[int, int] = {}
         self.may_have_run: set[int] = set()
         self.hedges = 0  # hosts tried beside the first, at once
 
@@ -104,10 +105,12 @@
     def send(self, number: int, resume: bool = False) -> SendAttempt:
         attempt = self.sent.get(number, 0)
         self.sent[number] = attempt + 1
+        self.out[number] = self.out.get(number, 0) + 1
         return SendAttempt(number, attempt, self.hosts[attempt % len(self.hosts)], resume)
 
     def ended(self, event: AttemptEnded) -> list[Action]:
         facts = self.facts[event.number]
+        self.out[event.number] -= 1
         if event.outcome in (Outcome.SUCCESS, Outcome.CANCELLED) or event.relayed:
             return []
         proven = event.outcome in NEVER_RAN
@@ -117,6 +120,8 @@
             return [FinalAnswer(event.number, GiveUp.OUT_OF_TIME)]
         if self.sent[event.number] < facts.max_attempts and (proven or facts.repeatable):
             return [self.send(event.number, event.progressed)]
+        if self.out[event.number]:
+            return []
         ran = event.number in self.may_have_run
         return [FinalAnswer(event.number, GiveUp.MAY_HAVE_RUN if ran else GiveUp.NOT_RUN, 0.4)]
 
--- a/tests/dataplane/test_pool.py
+++ b/tests/dataplane/test_pool.py
@@ -26,7 +26,7 @@
     stage,
     stream,
 )
-from tests.net import Behaviour, FakeHost, Message, NeverUp, hang, on_loop, reset, until
+from tests.net import Behaviour, Message, NeverUp, hang, on_loop, reset, until
 
 KEEPS = "Keep-Alive: timeout=9"
 SETTLE_S = 0.03
@@ -338,4 +338,50 @@
         assert (await client.ask("/once/x")).status == 200
 
 
-__all__ = ["FakeHost"]
+@on_loop
+async def test_a_decider_that_never_stops_costs_one_request() -> None:
+    async with stage(plain()) as s, s.client() as client:
+        s.decider.ended = lambda event: [s.decider.send(event.number)]  # type: ignore[method-assign]
+        s.decider.hosts = ["i-gone"]
+        assert (await client.ask("/once/x")).status == 503
+        s.decider.hosts = ["i-0"]
+        assert (await client.ask("/once/x")).status == 200
+
+
+@on_loop
+async def test_a_lease_that_ends_leaves_what_was_sent_before() -> None:
+    go = asyncio.Event()
+
+    async def slow(message: Message, writer: asyncio.StreamWriter) -> None:
+        await go.wait()
+        await plain(b"sent before")(message, writer)
+
+    async def reject(message: Message, writer: asyncio.StreamWriter) -> None:
+        s.authority.fresh = False
+        await rejects()(message, writer)
+        go.set()
+
+    async with stage(slow, reject) as s, s.client() as client:
+        s.decider.hedges = 1
+        assert (await client.ask("/safe/x")).body == b"sent before"
+        assert [len(host.seen) for host in s.hosts] == [1, 1]
+
+
+@on_loop
+async def test_a_fault_of_the_quotas_costs_one_answer() -> None:
+    async with stage(plain()) as s, s.client() as client:
+        s.quotas.admit = lambda tenant, amount, decide: 1 / 0  # type: ignore[method-assign, assignment]
+        assert (await client.ask("/once/x", X_Request_Deadline="100")).status == 503
+        assert not s.plane.engine.open
+        assert (await client.ask("/open/x")).status == 200
+
+
+@on_loop
+async def test_only_a_changed_topology_is_told() -> None:
+    async with stage(plain()) as s:
+        told = len(s.decider.events)
+        assert s.authority.now_in_force is not None
+        s.authority.tell(dataclasses.replace(s.authority.now_in_force, roster=()))
+        assert len(s.decider.events) == told
+        s.authority.tell(s.snapshot())
+        assert len(s.decider.events) == told + 1
