Data plane: what a losing attempt brings no longer counts as passed on

Cause: its events moved the last id before it was told that another stream goes on; when that one was cut, the resumption left events out.

--- a/roselink/dataplane/engine.py
+++ b/roselink/dataplane/engine.py
@@ -79,6 +79,7 @@
         self.directory = HostDirectory(upstream)
         self.hosts = self.directory.hosts
         self.open: dict[int, Exchange] = {}
+        self.body_bytes = 0  # of all open requests
         self.counts: Counter[str] = Counter()
         self._attempts = Attempts(loop, upstream, self.hosts, self)
 
@@ -127,6 +128,7 @@
             self._refuse(client, 503, 0.0)
             return None
         self.open[exchange.number] = exchange
+        self.body_bytes += len(request.body)
         exchange.guard = self._loop.call_at(exchange.give_up_at, self._out_of_time, exchange)
         if tenant is None or tenant.rate_per_s <= 0:
             self._admitted(exchange, True, 0.0)
@@ -207,8 +209,8 @@
             return
         elif isinstance(action, CancelAttempt):
             answer = exchange.attempts.get(action.attempt)
-            if answer is not None and answer.attempt is not None:
-                answer.attempt.cancel()
+            if answer is not None:
+                answer.cancel()
         elif isinstance(action, AskSharedBudget):
             self._budget.ask(action.service, partial(self._budget_decided, action.number))
         elif isinstance(action, FinalAnswer):
@@ -276,13 +278,13 @@
         exchange.closed = True
         if self.open.pop(exchange.number, None) is None:
             return
+        self.body_bytes -= len(exchange.request.body)
         if exchange.guard is not None:
             exchange.guard.cancel()
             exchange.guard = None
         if exchange.facts is not None:
             self._queue.add(RequestClosed(exchange.number))
         for answer in list(exchange.attempts.values()):
-            if answer.attempt is not None:
-                answer.attempt.cancel()
+            answer.cancel()
         exchange.owner = None  # nothing is left that refers in circles: no work for the collector
         self._queue.run()
--- a/roselink/dataplane/exchange.py
+++ b/roselink/dataplane/exchange.py
@@ -176,6 +176,9 @@
         self._ended(self, outcome)
 
     def _events(self, stream: StreamFilter, data: bytes) -> None:
+        if not self.may_go_on:
+            self.cancel()  # before its events count as passed on
+            return
         out = stream.feed(data)
         if out and self._claim(None):
             self._part(out)
@@ -206,8 +209,7 @@
         if exchange.closed:
             return False
         if not self.may_go_on:
-            if self.attempt is not None:
-                self.attempt.cancel()
+            self.cancel()
             return False
         if exchange.owner is self:
             return True
@@ -228,8 +230,12 @@
 
     def _give_up(self) -> None:
         self.spoilt = True
+        self.cancel()
+
+    def cancel(self) -> None:
+        """Call the attempt off."""
         if self.attempt is not None:
-            self.attempt.end(Outcome.CANCELLED)
+            self.attempt.cancel()
 
     # What the engine asks once it has ended.
 
--- a/roselink/dataplane/routes.py
+++ b/roselink/dataplane/routes.py
@@ -36,6 +36,7 @@
         self._prefixes: dict[str, dict[str, RouteEntry]] = {}
         for route in configuration.routes:
             self._prefixes.setdefault(route.hostname, {})[route.path_prefix] = RouteEntry(route)
+        self._longest = max((len(route.path_prefix) for route in configuration.routes), default=0)
         self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
         self.keyed = bool(configuration.tenants)  # whether routes that aren't public take a key
 
@@ -44,7 +45,7 @@
         prefixes = self._prefixes.get(hostname(host))
         if prefixes is None:
             return None
-        end = path.rfind("/")
+        end = path.rfind("/", 0, self._longest)
         while end >= 0:
             entry = prefixes.get(path[: end + 1])
             if entry is not None:
--- a/roselink/dataplane/server.py
+++ b/roselink/dataplane/server.py
@@ -21,6 +21,7 @@
 BODY_S = 10.0  # for a body to come in whole, behind the head's own time
 UNREAD_S = 10.0  # for a client to take what waits for it
 IDLE_OVER_S = 1.0  # connections rest here for so much longer than clients are told
+BODIES_LIMIT = 64 * 1024 * 1024  # bytes of the bodies of all open requests
 BODILESS = (204, 304)
 
 
@@ -170,6 +171,9 @@
     def connection(self) -> HttpConnection:
         return DataConnection(self)
 
+    def crowded(self) -> bool:
+        return super().crowded() or self.engine.body_bytes > BODIES_LIMIT
+
 
 def _sizes(limits: Limits) -> Sizes:
     head, body = limits.max_header_bytes, limits.max_body_bytes
--- a/tests/dataplane/stage.py
+++ b/tests/dataplane/stage.py
@@ -27,7 +27,7 @@
     TopologyChanged,
 )
 from roselink.routing.interface import NEVER_RAN, Outcome
-from tests.net import Behaviour, FakeHost, Message, reset, until
+from tests.net import Behaviour, FakeHost, Message, reset
 
 STAMP = "X-Response-Signature: 3e1b.07.5a2"
 KEY = "key-of-huka"
@@ -378,6 +378,3 @@
             return await self.reader.read() == b""
         except ConnectionError:
             return True
-
-
-__all__ = ["until"]
--- a/tests/dataplane/test_pool.py
+++ b/tests/dataplane/test_pool.py
@@ -11,6 +11,7 @@
 from roselink.dataplane import upstream
 from roselink.dataplane.topology import CONNECTIONS_LEAST
 from roselink.model.fleet import HostState
+from roselink.routing.decisions import FirstEvent
 from roselink.routing.interface import Outcome
 from tests.dataplane.stage import (
     Stage,
@@ -216,6 +217,33 @@
         }
 
 
+@on_loop
+async def test_what_a_loser_brings_does_not_count_as_passed_on() -> None:
+    """It comes while the winner's stream goes on; the winner is cut then, and taken up where it stopped."""
+
+    async def winner(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(sse(message) + chunk(event(1)))
+        await until(lambda: len(s.decider.ends()) == 1)
+        reset(writer)
+
+    async def loser(message: Message, writer: asyncio.StreamWriter) -> None:
+        if "last-event-id" in message.headers:
+            await stream(4)(message, writer)
+            return
+        await until(lambda: s.decider.count(FirstEvent) == 1)
+        writer.write(sse(message) + chunk(event(1) + event(2) + event(3)))
+
+    async with stage(winner, loser, loser) as s, s.client() as client:
+        s.decider.hedges = 1
+        got = await client.ask("/chat/x")
+        assert (got.whole, got.ids) == (True, [1, 2, 3, 4])
+        assert [end.outcome for end in s.decider.ends()] == [
+            Outcome.CANCELLED,
+            Outcome.RESET,
+            Outcome.SUCCESS,
+        ]
+
+
 @pytest.mark.parametrize(
     ("behave", "whole"),
     [
