--- a/roselink/routing/ring.py
+++ b/roselink/routing/ring.py
@@ -14,19 +14,23 @@
 MANY, VERY_MANY = 64, 1024  # hosts
 POINTS, POINTS_OF_MANY, POINTS_OF_VERY_MANY = 128, 32, 8
 IN_A_DIGEST = 8  # points that one digest of 64 bytes gives
+PLACE_BITS = 20  # the low bits of a point tell its host: a million at most
+PLACES = (1 << PLACE_BITS) - 1
 
 
 class HashRing:
     """The hosts of one service by id. A larger fleet has fewer points a host: its shares are small anyway."""
 
     def __init__(self, ids: Iterable[str]) -> None:
-        names = sorted(set(ids))
+        self._names = names = sorted(set(ids))
         count = len(names)
         each = POINTS if count <= MANY else POINTS_OF_MANY if count <= VERY_MANY else POINTS_OF_VERY_MANY
-        pairs = sorted((point, place) for place, name in enumerate(names) for point in _points(name, each))
-        self._names = names
-        self._points = array("Q", (point for point, _ in pairs))
-        self._places = array("L", (place for _, place in pairs))
+        points: list[int] = []
+        for place, name in enumerate(names):
+            for block in range(each // IN_A_DIGEST):
+                points += [point | place for point in _block(name, block)]
+        points.sort()
+        self._points = array("Q", points)
 
     def __len__(self) -> int:
         return len(self._points)
@@ -36,7 +40,7 @@
         size, seen = len(self._points), set()
         start = bisect_right(self._points, key_hash(key))
         for step in range(size):
-            place = self._places[(start + step) % size]
+            place = self._points[(start + step) % size] & PLACES
             if place not in seen:
                 seen.add(place)
                 yield self._names[place]
@@ -47,13 +51,8 @@
     return int.from_bytes(blake2b(key.encode(), digest_size=8, person=b"key").digest(), "big")
 
 
-def _points(name: str, each: int) -> array[int]:
-    points = array("Q")
-    for block in range(each // IN_A_DIGEST):
-        points.extend(_block(name, block))
-    return points
-
-
-@lru_cache(maxsize=32768)
-def _block(name: str, block: int) -> array[int]:
-    return array("Q", blake2b(name.encode(), salt=block.to_bytes(2, "big"), person=b"host").digest())
+@lru_cache(maxsize=16384)
+def _block(name: str, block: int) -> tuple[int, ...]:
+    """Eight of a host's points, with the bits for its place left empty."""
+    digest = blake2b(name.encode(), salt=block.to_bytes(2, "big"), person=b"host").digest()
+    return tuple(int.from_bytes(digest[at : at + 8], "big") & ~PLACES for at in range(0, 64, 8))
