Streams under way are left to the data plane; resumed ones count when they end; docs

Cause: read against the data plane. It lets a stream that has begun run past the time to give up, and the decider's final answer would have cut it there; a resumed attempt has no first event, so each counted as overdue; half an answer that is no stream was tried again. The case of a started stream in the test of silent attempts asserted the cut and is replaced by one that wants none, and a final answer once the stream breaks; the property test now wants a final answer for every request after all attempts have ended.

--- a/roselink/routing/fleet.py
+++ b/roselink/routing/fleet.py
@@ -133,7 +133,8 @@
         if request.closed:
             return
         if due is Due.GIVE_UP:
-            self._finish(request, out_of_time=True)
+            if not request.streams():  # the data plane ends a running stream at its deadline
+                self._finish(request, out_of_time=True)
         elif due is Due.HOLD and request.stage is Stage.HELD:
             self._finish(request)
         elif due is Due.RETRY and request.stage is Stage.BACKING_OFF:
@@ -161,7 +162,7 @@
         return True
 
     def _decide(self, request: Request, attempt: Attempt, event: d.AttemptEnded) -> None:
-        verdict = classify(event.outcome, request.policy.repeatable, event.relayed)
+        verdict = classify(event.outcome, request.may_repeat(), event.relayed)
         if verdict is Verdict.DONE:
             self._close(request)
         elif event.outcome is Outcome.CANCELLED and (request.out or request.stage is not Stage.OUT):
@@ -220,17 +221,19 @@
     def _send(self, request: Request, host: HostState) -> None:
         pool = self._topology.pool(request.facts.service)
         reading = self._chooser.tokens_to_read(pool, request.facts, host, self._now)
-        attempt = Attempt(host, self._now, reading)
+        attempt = Attempt(host, self._now, reading, resumed=request.progressed)
         self._learner.sent(attempt)
         number = len(request.attempts)
         request.attempts.append(attempt)
         request.out += 1
         request.stage = Stage.OUT
         self._actions.append(d.SendAttempt(request.facts.number, number, host.spec.id, request.progressed))
+        if request.progressed:
+            return
         aim_s = request.policy.aim_s
         if aim_s > 0:
             self._timers.push(self._now + aim_s, Due.OVERDUE, request, number)
-        hedge_s = None if request.progressed else request.route.hedge_after_s(request.policy)
+        hedge_s = request.route.hedge_after_s(request.policy)
         if hedge_s is not None:
             self._timers.push(self._now + hedge_s, Due.HEDGE, request, number)
 
--- a/roselink/routing/learning.py
+++ b/roselink/routing/learning.py
@@ -60,7 +60,9 @@
         self._topology.pool(request.facts.service).count(full)
         if outcome is Outcome.SUCCESS:
             host.served()
-            if not attempt.started:
+            if attempt.resumed:
+                host.credit(1.0)
+            elif not attempt.started:
                 self.answered(request, attempt, now)
             return host.alive(now)
         if not attempt.late:
--- a/roselink/routing/request_state.py
+++ b/roselink/routing/request_state.py
@@ -31,6 +31,7 @@
     host: HostState
     sent_at: float
     reading: int
+    resumed: bool  # it goes on behind what the client has; no first event tells of it
     trial: bool = False
     outcome: Outcome | None = None
     started: bool = False  # its first event came
@@ -56,6 +57,14 @@
         """Whether it has its final answer."""
         return self.stage is Stage.CLOSED
 
+    def streams(self) -> bool:
+        """Whether its answer is on its way to the client."""
+        return self.winner is not None and self.winner.outcome is None
+
+    def may_repeat(self) -> bool:
+        """Whether it may run again. An answer that the client has a part of must be a stream for that."""
+        return self.policy.repeatable and (self.policy.streaming or not self.progressed)
+
     def may_attempt(self) -> bool:
         """Whether the bound on attempts leaves one more; a few that ended unsent are free."""
         unsent = sum(attempt.outcome in NEVER_SENT for attempt in self.attempts)
