--- a/roselink/control/chain.py
+++ b/roselink/control/chain.py
@@ -30,7 +30,8 @@
 )
 from roselink.protocol.records import encode
 
-SYNC_AGAIN_S = 0.3
+SYNC_AGAIN_S = 0.3  # and the time for the state at SYNC_BYTES_S
+SYNC_BYTES_S = 4e6
 WRITE_AGAIN_S = 0.2
 
 
@@ -157,7 +158,8 @@
         if self._successor is None or not self.taking_part or not self._begun:
             return
         if not self.active:
-            if now - self._sent_at >= SYNC_AGAIN_S:
+            size = len(self._first.document) + len(self._first.history)
+            if now - self._sent_at >= SYNC_AGAIN_S + size / SYNC_BYTES_S:
                 self._send_sync(now)
         elif self._unacknowledged and now - self._sent_at >= WRITE_AGAIN_S:
             self._sent_at = now
--- a/roselink/control/member.py
+++ b/roselink/control/member.py
@@ -164,8 +164,8 @@
         """Every `TICK_S` or so."""
         gap = now - self._ticked_at
         if gap > SLEPT_S:
-            self._peers.skip(gap)
-            self._disk.skip(gap)
+            self._peers.skip(gap, now)
+            self._disk.skip(gap, now)
         self._ticked_at = now
         self._disk.check(now)
         self._retry_disk(now)
--- a/roselink/control/peering.py
+++ b/roselink/control/peering.py
@@ -39,10 +39,10 @@
         """Count no machine as silent for a while: none may be up yet."""
         self._grace_until = now + START_GRACE_S
 
-    def skip(self, seconds: float) -> None:
+    def skip(self, seconds: float, now: float) -> None:
         """This process did not run for so long: silence in that time says nothing about others."""
         for known in self._known.values():
-            known.heard_at += seconds
+            known.heard_at = min(now, known.heard_at + seconds)
 
     def hear(self, heartbeat: Heartbeat, now: float) -> None:
         """Take a heartbeat."""
@@ -50,6 +50,8 @@
         known = self._known.get(address)
         if known is None or known.heartbeat.session != heartbeat.session:
             known = self._known[address] = _Known(heartbeat, now)
+        if now - known.heard_at >= SILENT_S:
+            known.well_since = None
         known.heartbeat, known.heard_at = heartbeat, now
         well = self._live(known, now) and heartbeat.disk_ok and not heartbeat.leaving
         if not well:
@@ -147,6 +149,6 @@
         """Whether no save is under way."""
         return not self._began
 
-    def skip(self, seconds: float) -> None:
+    def skip(self, seconds: float, now: float) -> None:
         """This process did not run for so long."""
-        self._began = [at + seconds for at in self._began]
+        self._began = [min(now, at + seconds) for at in self._began]
--- a/roselink/control/views.py
+++ b/roselink/control/views.py
@@ -105,6 +105,8 @@
 
     `peers` has every known machine by address, the planner too.
     """
+    if _complete(view, peers):
+        return None
     voters = _plan_voters(view, peers, rules)
     chain = _plan_chain(view, voters, peers, rules)
     if chain is None:
@@ -121,6 +123,15 @@
     return all(_takes_part(view, link, peers.get(link.voter.address)) for link in view.chain)
 
 
+def _complete(view: View, peers: Mapping[str, Peer]) -> bool:
+    """Whether every known machine is in the chain and well: the ordinary state, told without a search."""
+    if not len(peers) == len(view.chain) == len(view.voters):
+        return False
+    return (
+        all(peer.fit for peer in peers.values()) and whole(view, peers) and _all_hear(tuple(peers.values()))
+    )
+
+
 def _takes_part(view: View, link: Link, peer: Peer | None) -> bool:
     if peer is None or peer.voter != link.voter or link.session not in (0, peer.session):
         return False
