--- a/roselink/control/views.py
+++ b/roselink/control/views.py
@@ -213,7 +213,7 @@
     able = [peer for peer in stayed if intact(view, peer)]
     behind = [peer for peer in stayed if not intact(view, peer)]
     head, rest = able[0], able[1:]
-    ordered = [head, *behind, *new, *rest]
+    ordered = [head, *rest[:-1], *behind, *new, *rest[-1:]]
     links = []
     for peer in ordered:
         link = link_of(view, peer.voter)
--- /dev/null
+++ b/tests/control/test_chain.py
@@ -0,0 +1,205 @@
+"""One member's part in a chain: what it passes on, acknowledges, takes and refuses."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from roselink.control.chain import ChainMember
+from roselink.control.effects import Effect, Persist, Send, Store
+from roselink.control.state import EMPTY, apply, digest_of
+from roselink.protocol.chain import Ack, ConfigurationOrder, Link, StoredState, Sync, View, Voter, Write
+from roselink.protocol.records import encode
+
+A, B, C = (Voter(name, 0) for name in "abc")
+VIEW = View(3, (A, B, C), tuple(Link(voter, 1, 7) for voter in (A, B, C)))
+FIRST = ConfigurationOrder(0, 1, b"one", digest_of(0, b"one"))
+SECOND = ConfigurationOrder(1, 2, b"two", digest_of(1, b"two"))
+STATE = apply(EMPTY, FIRST, refused=False)
+SYNC = Sync(A, 3, STATE)
+WRITE = Write(A, 3, 2, False, SECOND)
+
+
+class Stage:
+    """One member in `VIEW`, and what it gave out."""
+
+    def __init__(self, voter: Voter, session: int = 7, stored: StoredState | None = None) -> None:
+        self.effects: list[Effect] = []
+        self.member = ChainMember(voter, session, self.effects.append)
+        self.member.restore(stored or StoredState(2, STATE))
+        self.member.enter(VIEW, False, 0.0)
+
+    def out(self) -> list[Effect]:
+        effects = list(self.effects)
+        self.effects.clear()
+        return effects
+
+    def sent(self) -> list[tuple[str, object]]:
+        return [(effect.to, effect.message) for effect in self.out() if isinstance(effect, Send)]
+
+    def saved(self) -> list[tuple[str, object]]:
+        """One save is done; what is sent by it."""
+        self.out()
+        self.member.on_persisted(0.0)
+        return self.sent()
+
+
+def middle() -> Stage:
+    """The middle member, synced and active."""
+    stage = Stage(B)
+    stage.member.on_sync(SYNC)
+    stage.saved()
+    stage.member.on_ack(Ack(C, 3, 1))
+    stage.out()
+    return stage
+
+
+def test_the_head_pushes_its_durable_state() -> None:
+    assert Stage(A).sent() == [("b", Sync(A, 3, STATE))]
+
+
+def test_the_head_saves_what_it_had_not_saved_before_it_pushes() -> None:
+    stage = Stage(A)
+    stage.member.on_ack(Ack(B, 3, 1))
+    stage.member.append(SECOND, False)
+    stage.out()
+    stage.member.enter(replace(VIEW, epoch=4), False, 0.0)
+    assert stage.sent() == []
+    newest = apply(STATE, SECOND, refused=False)
+    stage.member.on_persisted(0.0)
+    assert ("b", Sync(A, 4, newest)) in stage.sent()
+
+
+def test_a_member_saves_before_it_passes_on() -> None:
+    stage = Stage(B)
+    stage.member.on_sync(SYNC)
+    assert stage.out() == [Persist(Store.STATE, encode(StoredState(3, STATE)))]
+    assert stage.saved() == [("c", Sync(B, 3, STATE))]
+    assert not stage.member.active
+
+
+def test_the_tail_commits_with_its_save() -> None:
+    stage = Stage(C)
+    stage.member.on_sync(Sync(B, 3, STATE))
+    assert not stage.member.is_tail
+    assert stage.saved() == [("b", Ack(C, 3, 1))]
+    assert stage.member.is_tail and stage.member.committed == 1
+
+
+def test_a_write_goes_down_after_the_save_and_its_acknowledgement_up() -> None:
+    stage = middle()
+    stage.member.on_write(WRITE)
+    assert stage.sent() == []
+    assert stage.saved() == [("c", Write(B, 3, 2, False, SECOND))]
+    assert stage.member.on_ack(Ack(C, 3, 2))
+    assert stage.sent() == [("a", Ack(B, 3, 2))]
+    assert not stage.member.on_ack(Ack(C, 3, 2))
+
+
+def test_writes_that_come_during_a_save_share_the_next() -> None:
+    stage = middle()
+    third = ConfigurationOrder(2, 3, b"three", digest_of(2, b"three"))
+    stage.member.on_write(WRITE)
+    stage.member.on_write(Write(A, 3, 3, False, third))
+    assert stage.saved() == [("c", Write(B, 3, 2, False, SECOND))]
+    assert stage.saved() == [("c", Write(B, 3, 3, False, third))]
+
+
+def test_a_write_given_again_is_acknowledged_again_and_a_gap_is_not_taken() -> None:
+    stage = middle()
+    stage.member.on_write(Write(A, 3, 1, False, FIRST))
+    assert stage.sent() == [("a", Ack(B, 3, 1))]
+    stage.member.on_write(Write(A, 3, 3, False, SECOND))
+    assert stage.member.applied.sequence == 1
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Sync(A, 2, EMPTY),
+        Sync(A, 4, EMPTY),
+        Sync(C, 3, EMPTY),
+        Sync(Voter("a", 9), 3, EMPTY),
+        replace(WRITE, epoch=2),
+        replace(WRITE, epoch=4),
+        replace(WRITE, sender=C),
+        Ack(A, 3, 9),
+        Ack(C, 2, 9),
+        Ack(Voter("c", 9), 3, 9),
+    ],
+)
+def test_what_another_epoch_or_machine_sends_is_not_taken(message: Sync | Write | Ack) -> None:
+    stage = middle()
+    before = stage.member.applied, stage.member.committed
+    give(stage, message)
+    assert (stage.member.applied, stage.member.committed) == before
+    assert stage.out() == []
+
+
+def give(stage: Stage, message: Sync | Write | Ack) -> None:
+    if isinstance(message, Sync):
+        stage.member.on_sync(message)
+    elif isinstance(message, Write):
+        stage.member.on_write(message)
+    else:
+        stage.member.on_ack(message)
+
+
+@pytest.mark.parametrize("voter", [A, B, C])
+def test_a_process_that_started_later_takes_no_part(voter: Voter) -> None:
+    stage = Stage(voter, session=8)
+    assert not stage.member.taking_part
+    for message in (SYNC, Sync(B, 3, STATE), WRITE, Ack(B, 3, 1), Ack(C, 3, 1)):
+        give(stage, message)
+    assert stage.out() == [] and not stage.member.is_head and not stage.member.is_tail
+
+
+def test_a_member_that_was_not_synced_takes_no_write() -> None:
+    stage = Stage(B)
+    stage.member.on_write(WRITE)
+    assert stage.out() == []
+
+
+def test_a_refused_save_is_tried_again_and_nothing_leaves_before() -> None:
+    stage = middle()
+    stage.member.on_write(WRITE)
+    stage.out()
+    stage.member.on_persist_failed()
+    assert stage.out() == []
+    stage.member.retry()
+    assert [type(effect) for effect in stage.out()] == [Persist]
+    stage.member.on_persisted(0.0)
+    assert stage.sent() == [("c", Write(B, 3, 2, False, SECOND))]
+
+
+def test_a_save_of_the_older_epoch_passes_nothing_on_in_the_newer() -> None:
+    stage = middle()
+    stage.member.on_write(WRITE)
+    stage.out()
+    stage.member.enter(replace(VIEW, epoch=4), False, 0.0)
+    assert stage.saved() == []
+    stage.member.on_sync(Sync(A, 4, STATE))
+    assert stage.saved() == [("c", Sync(B, 4, STATE))]
+
+
+def test_what_has_no_acknowledgement_is_sent_again() -> None:
+    head = Stage(A)
+    head.out()
+    head.member.resend(0.1)
+    assert head.sent() == []
+    head.member.resend(0.5)
+    assert head.sent() == [("b", Sync(A, 3, STATE))]
+    head.member.on_ack(Ack(B, 3, 1))
+    head.member.append(SECOND, False)
+    head.saved()
+    head.member.resend(0.6)
+    assert head.sent() == [("b", Write(A, 3, 2, False, SECOND))]
+    head.member.on_ack(Ack(B, 3, 2))
+    head.member.resend(9.0)
+    assert head.sent() == []
+
+
+def test_only_the_head_of_an_active_view_appends() -> None:
+    with pytest.raises(AssertionError):
+        Stage(A).member.append(SECOND, False)
--- /dev/null
+++ b/tests/control/test_member.py
@@ -0,0 +1,205 @@
+"""A whole member on its own: identities, what waits for the disk, liveness, and its disk's health."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from roselink.control.effects import Effect, Persist, ReadDone, Send, Store, SubmitDone, Unsettled
+from roselink.control.member import Member, Start
+from roselink.control.peering import DiskHealth, Peers
+from roselink.control.state import EMPTY, apply, digest_of
+from roselink.control.views import first_view
+from roselink.protocol.chain import (
+    Accept,
+    Accepted,
+    Ballot,
+    ConfigurationOrder,
+    ConfirmAnswer,
+    ConfirmAsk,
+    Decided,
+    Heartbeat,
+    Link,
+    Prepare,
+    Promise,
+    StoredState,
+    View,
+    Voter,
+    Votes,
+)
+from roselink.protocol.records import decode
+
+SEEDS = ("a:1", "b:1", "c:1")
+VIEW = first_view(SEEDS)
+A, B, C = VIEW.voters
+ORDER = ConfigurationOrder(0, 1, b"one", digest_of(0, b"one"))
+STATE = StoredState(1, apply(EMPTY, ORDER, refused=False))
+FRESH = Start("b:1", SEEDS, True, 1, 40, 50, None, None)
+STORED = replace(FRESH, bootstrap=False, votes=Votes(B, VIEW, None, None, None), state=STATE)
+BALLOT = Ballot(1, "a:1", 9)
+NEXT = View(2, VIEW.voters, tuple(Link(voter, 1, 40) for voter in (B, C)))
+
+
+class Stage:
+    def __init__(self, start: Start) -> None:
+        self.member = Member(start, 0.0)
+        self.out: list[Effect] = self.member.begin(0.0)
+
+    def give(self, message: object, now: float = 0.0) -> list[object]:
+        self.out += self.member.receive(message, now)
+        return self.sent()
+
+    def sent(self) -> list[object]:
+        """What was sent, save heartbeats; saves stay waiting."""
+        sent = [e.message for e in self.out if isinstance(e, Send) and not isinstance(e.message, Heartbeat)]
+        self.out = [e for e in self.out if isinstance(e, Persist)]
+        return sent
+
+    def save(self, now: float = 0.0) -> Persist:
+        """The oldest save is done."""
+        oldest = next(e for e in self.out if isinstance(e, Persist))
+        self.out.remove(oldest)
+        self.out += self.member.persisted(oldest.store, now)
+        return oldest
+
+
+@pytest.mark.parametrize(
+    ("start", "voter", "epoch"),
+    [
+        (FRESH, Voter("b:1", 0), 1),
+        (replace(FRESH, address="d:1"), Voter("d:1", 50), 0),
+        (replace(FRESH, bootstrap=False), Voter("b:1", 50), 0),
+        (replace(STORED, state=None), Voter("b:1", 50), 0),
+        (replace(STORED, votes=None), Voter("b:1", 50), 0),
+        (STORED, Voter("b:1", 0), 1),
+        (replace(STORED, bootstrap=True), Voter("b:1", 0), 1),
+    ],
+)
+def test_identity(start: Start, voter: Voter, epoch: int) -> None:
+    member = Stage(start).member
+    assert member.voter == voter
+    assert (member.view.epoch if member.view else 0) == epoch
+
+
+def test_a_new_member_says_nothing_before_its_identity_is_saved() -> None:
+    stage = Stage(FRESH)
+    assert stage.give(Prepare(A, 2, BALLOT)) == []
+    stage.out += stage.member.tick(0.1)
+    assert all(isinstance(effect, Persist) for effect in stage.out)
+    assert decode(36, stage.save().payload) == StoredState(1, EMPTY)
+    assert decode(33, stage.save().payload) == Votes(B, VIEW, None, None, None)
+    assert stage.member.chain.taking_part
+
+
+def test_a_restarted_member_takes_no_part_but_votes() -> None:
+    stage = Stage(STORED)
+    assert not stage.member.chain.taking_part
+    assert stage.give(ConfirmAsk(C, 1, 3)) == [ConfirmAnswer(B, 1, 3, True)]
+    assert stage.give(Prepare(A, 2, BALLOT)) == []
+    saved = stage.save()
+    assert saved.store is Store.VOTES and decode(33, saved.payload).promised == BALLOT
+    assert stage.sent() == [Promise(B, 2, BALLOT, None, None)]
+
+
+def test_an_acceptance_leaves_after_its_save_and_ends_confirmations_at_once() -> None:
+    stage = Stage(STORED)
+    assert stage.give(Accept(A, BALLOT, NEXT)) == []
+    assert stage.give(ConfirmAsk(C, 1, 3)) == [ConfirmAnswer(B, 1, 3, False)]
+    saved = decode(33, stage.save().payload)
+    assert (saved.accepted, saved.proposal) == (BALLOT, NEXT)
+    assert stage.sent() == [Accepted(B, 2, BALLOT)]
+    again = Stage(replace(STORED, votes=saved))
+    assert again.give(ConfirmAsk(C, 1, 4)) == [ConfirmAnswer(B, 1, 4, False)]
+
+
+def test_a_refusing_disk_lets_no_vote_out_and_is_tried_again() -> None:
+    stage = Stage(STORED)
+    stage.give(Prepare(A, 2, BALLOT))
+    stage.out = stage.member.persist_failed(Store.VOTES, 0.0)
+    assert stage.out == [] and not stage.member.disk_fit
+    stage.out = stage.member.tick(0.25)
+    assert stage.save(0.26).store is Store.VOTES
+    assert stage.member.disk_fit
+    assert stage.sent() == [Promise(B, 2, BALLOT, None, None)]
+
+
+def test_a_decided_view_is_followed_and_given_on_to_whoever_is_behind() -> None:
+    stage = Stage(STORED)
+    stage.give(Decided(A, NEXT))
+    assert stage.member.view == NEXT and stage.member.chain.is_head
+    stage.give(Decided(A, VIEW))
+    assert stage.member.view == NEXT
+    assert stage.give(beat(C, epoch=1)) == [Decided(B, NEXT)]
+    assert stage.give(beat(C, epoch=2)) == []
+
+
+def test_calls_end_in_time_without_a_core() -> None:
+    stage = Stage(STORED)
+    order, _ = stage.member.submit(ORDER, 0.0)
+    read, _ = stage.member.read(0.0)
+    ends: list[tuple[float, Effect]] = []
+    for step in range(1, 60):
+        now = step * 0.05
+        done = [e for e in stage.member.tick(now) if isinstance(e, SubmitDone | ReadDone)]
+        ends += [(now, effect) for effect in done]
+    assert [effect for _, effect in ends] == [ReadDone(read, None), SubmitDone(order, Unsettled())]
+    assert [at for at, _ in ends] == pytest.approx([1.5, 2.5])
+
+
+def beat(sender: Voter, **changes: object) -> Heartbeat:
+    well = Heartbeat(sender, 3, 1, 1, 0, True, True, False, True, ("b:1", "a:1", "c:1"))
+    return replace(well, **changes)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("beats", "now", "live", "steady"),
+    [
+        ([(0.0, beat(A))], 0.1, True, False),
+        ([(0.0, beat(A)), (0.3, beat(A))], 0.35, True, True),
+        ([(0.0, beat(A)), (0.3, beat(A))], 0.8, False, True),
+        ([(0.0, beat(A, heard=("c:1",)))], 0.1, False, False),
+        ([(0.0, beat(A)), (0.2, beat(A, disk_ok=False)), (0.3, beat(A))], 0.4, True, False),
+        ([(0.0, beat(A)), (1.0, beat(A))], 1.1, True, False),
+        ([(0.0, beat(A)), (0.3, beat(A, session=4))], 0.4, True, False),
+    ],
+)
+def test_peers(beats: list[tuple[float, Heartbeat]], now: float, live: bool, steady: bool) -> None:
+    peers = Peers(B)
+    for at, heartbeat in beats:
+        peers.hear(heartbeat, at)
+    own = Stage(STORED).member._own_peer(now)
+    seen = peers.picture(now, own, ())["a:1"]
+    assert (seen.live, seen.steady) == (live, steady)
+
+
+def test_own_sleep_is_no_silence_of_others() -> None:
+    peers = Peers(B)
+    peers.hear(beat(A), 0.0)
+    assert peers.heard(5.0) == ()
+    peers.skip(4.9, 5.0)
+    assert peers.heard(5.0) == ("a:1",)
+    peers.skip(4.9, 5.1)
+    assert peers.heard(5.6) == ()
+
+
+@pytest.mark.parametrize(
+    ("saves", "now", "fit"),
+    [
+        ([(0.0, 0.02, True)], 0.1, True),
+        ([(0.0, 0.5, True)], 0.6, False),
+        ([(0.0, None, True)], 0.2, True),
+        ([(0.0, None, True)], 0.4, False),
+        ([(0.0, 0.02, False)], 0.1, False),
+        ([(0.0, 0.02, False), (0.1, 0.12, True)], 0.2, True),
+        ([(0.0, 0.5, True), (0.6, 0.85, True)], 0.9, False),
+        ([(0.0, 0.5, True), (0.6, 0.65, True)], 0.9, True),
+    ],
+)
+def test_disk_health(saves: list[tuple[float, float | None, bool]], now: float, fit: bool) -> None:
+    disk = DiskHealth()
+    for began, ended, well in saves:
+        disk.began(began)
+        if ended is not None:
+            disk.ended(ended, well)
+    assert disk.check(now) is fit
--- /dev/null
+++ b/tests/control/test_views.py
@@ -0,0 +1,176 @@
+"""Which view is proposed next, as tables of what is known."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from roselink.control.views import Peer, Rules, first_view, intact, majority, plan
+from roselink.protocol.chain import Link, View, Voter
+
+NAMES = ("a", "b", "c", "d", "e")
+ALL = frozenset(NAMES)
+
+
+def peer(name: str, **changes: object) -> Peer:
+    well = Peer(
+        voter=Voter(name, 0),
+        session=1,
+        epoch=1,
+        state_epoch=1,
+        taking_part=True,
+        disk_ok=True,
+        leaving=False,
+        live=True,
+        steady=True,
+        silent_s=0.0,
+        heard=ALL - {name},
+    )
+    return replace(well, **changes)  # type: ignore[arg-type]
+
+
+def gone(name: str, silent_s: float = 0.5) -> Peer:
+    return peer(name, live=False, steady=False, silent_s=silent_s)
+
+
+def joiner(name: str, **changes: object) -> Peer:
+    return peer(name, voter=Voter(name, 77), epoch=0, state_epoch=0, taking_part=False, **changes)
+
+
+def picture(*peers: Peer) -> dict[str, Peer]:
+    return {each.voter.address: each for each in peers}
+
+
+def planned(view: View, tolerated: int, *peers: Peer) -> tuple[str, str] | None:
+    """Voters and chain of the plan, as names."""
+    proposal = plan(view, picture(*peers), Rules(tolerated))
+    if proposal is None:
+        return None
+    assert proposal.epoch == view.epoch + 1
+    assert {link.voter for link in proposal.chain} <= set(proposal.voters)
+    voters = "".join(voter.address for voter in proposal.voters)
+    return voters, "".join(link.voter.address for link in proposal.chain)
+
+
+THREE = first_view("abc")
+FOUR = first_view("abcd")
+FIVE = first_view("abcde")
+SHORT = View(4, THREE.voters, tuple(Link(Voter(name, 0), 1, 1) for name in "ab"))
+AB = (peer("a", epoch=4), peer("b", epoch=4))
+
+
+@pytest.mark.parametrize(
+    ("view", "tolerated", "peers", "expected"),
+    [
+        pytest.param(THREE, 1, (peer("a"), peer("b"), peer("c")), None, id="all well"),
+        pytest.param(THREE, 1, (gone("a"), peer("b"), peer("c")), ("abc", "bc"), id="head gone"),
+        pytest.param(THREE, 1, (peer("a"), gone("b"), peer("c")), ("abc", "ac"), id="middle gone"),
+        pytest.param(THREE, 1, (peer("a"), peer("b"), gone("c")), ("abc", "ab"), id="tail gone"),
+        pytest.param(THREE, 1, (peer("a"), peer("b"), gone("c", 9.0)), ("abc", "ab"), id="dead voter stays"),
+        pytest.param(THREE, 1, (peer("a"), gone("b"), gone("c")), None, id="too few for a chain"),
+        pytest.param(
+            THREE, 1, (peer("a"), peer("b"), peer("c", disk_ok=False)), ("abc", "ab"), id="bad disk"
+        ),
+        pytest.param(THREE, 1, (peer("a", leaving=True), peer("b"), peer("c")), ("abc", "bc"), id="leaving"),
+        pytest.param(
+            THREE, 1, (peer("a", taking_part=False), peer("b"), peer("c")), ("abc", "abc"), id="restarted"
+        ),
+        pytest.param(THREE, 1, (peer("a"), peer("b"), joiner("c")), ("abc", "acb"), id="wiped"),
+        pytest.param(
+            THREE, 1, (peer("a"), peer("b"), gone("c", 1.0), joiner("d")), ("abd", "adb"), id="replaced"
+        ),
+        pytest.param(
+            THREE,
+            1,
+            (peer("a"), peer("b"), gone("c", 0.5), joiner("d")),
+            ("abcd", "adb"),
+            id="new, none dead yet",
+        ),
+        pytest.param(
+            THREE,
+            1,
+            (peer("a"), peer("b"), peer("c"), joiner("d")),
+            ("abcd", "abdc"),
+            id="joiner goes before the tail",
+        ),
+        pytest.param(
+            THREE,
+            1,
+            (peer("a"), peer("b"), peer("c"), joiner("d", steady=False)),
+            None,
+            id="joiner not steady",
+        ),
+        pytest.param(
+            THREE,
+            1,
+            (peer("a", heard=frozenset("c")), peer("b", heard=frozenset("c")), peer("c")),
+            ("abc", "ac"),
+            id="two that don't hear each other",
+        ),
+        pytest.param(
+            FOUR, 1, (peer("a"), peer("b"), peer("c"), gone("d", 3.0)), ("abc", "abc"), id="spare voter goes"
+        ),
+        pytest.param(
+            FOUR, 1, (peer("a"), peer("b"), peer("c"), gone("d", 1.0)), ("abcd", "abc"), id="not at once"
+        ),
+        pytest.param(
+            FIVE, 2, (peer("a"), gone("b", 9), peer("c"), gone("d", 9), peer("e")), ("abcde", "ace"), id="5"
+        ),
+        pytest.param(
+            FIVE, 2, (peer("a"), gone("b"), gone("c"), gone("d"), peer("e")), None, id="5, three gone"
+        ),
+        pytest.param(SHORT, 1, (*AB, peer("c", epoch=4, taking_part=False)), ("abc", "acb"), id="back again"),
+        pytest.param(SHORT, 1, (*AB, peer("c", epoch=4, steady=False)), None, id="back, not steady"),
+        pytest.param(
+            SHORT,
+            1,
+            (gone("a"), gone("b"), peer("c", epoch=4)),
+            None,
+            id="only one that the chain went on without",
+        ),
+        pytest.param(
+            SHORT, 1, (gone("a"), AB[1], peer("c", epoch=4)), ("abc", "bc"), id="one left, one comes back"
+        ),
+        pytest.param(
+            SHORT, 1, (gone("a"), peer("b", state_epoch=0), peer("c", epoch=4)), None, id="none intact: wait"
+        ),
+    ],
+)
+def test_plan(view: View, tolerated: int, peers: tuple[Peer, ...], expected: tuple[str, str] | None) -> None:
+    assert planned(view, tolerated, *peers) == expected
+
+
+def test_since_is_kept_by_those_who_stay_and_new_for_the_others() -> None:
+    proposal = plan(SHORT, picture(*AB, peer("c", epoch=4, taking_part=False, session=9)), Rules(1))
+    assert proposal is not None
+    assert {link.voter.address: (link.since, link.session) for link in proposal.chain} == {
+        "a": (1, 1),
+        "b": (1, 1),
+        "c": (5, 9),
+    }
+
+
+@pytest.mark.parametrize(
+    ("since", "state_epoch", "expected"),
+    [(1, 1, True), (3, 3, True), (3, 5, True), (3, 2, False), (1, 0, False)],
+)
+def test_intact(since: int, state_epoch: int, expected: bool) -> None:
+    voter = Voter("a", 0)
+    view = View(5, (voter,), (Link(voter, since, 1),))
+    assert intact(view, peer("a", state_epoch=state_epoch)) is expected
+    assert not intact(view, joiner("a", heard=ALL))
+    assert not intact(view, peer("b"))
+
+
+def test_a_view_that_never_became_active_leaves_the_old_members_able_to_lead() -> None:
+    second = plan(THREE, picture(peer("a"), peer("b"), gone("c")), Rules(1))
+    assert second is not None
+    third = plan(second, picture(gone("a"), peer("b", epoch=2), peer("c", epoch=2)), Rules(1))
+    assert third is not None
+    assert third.chain[0].voter.address == "b"
+
+
+@pytest.mark.parametrize(("names", "expected"), [("a", 1), ("ab", 2), ("abc", 2), ("abcd", 3), ("abcde", 3)])
+def test_majority(names: str, expected: int) -> None:
+    assert majority(first_view(names)) == expected
