--- a/roselink/control/peering.py
+++ b/roselink/control/peering.py
@@ -14,7 +14,7 @@
 
 SILENT_S = 0.45  # a machine that said nothing for so long is suspected
 STEADY_S = 0.3  # a machine that has been live and well for so long may join a chain
-FORGET_S = 10.0  # a machine outside the view that said nothing for so long is no contact any more
+FORGET_S = 10.0  # a machine that said nothing for so long is not known any more
 START_GRACE_S = 1.5  # after the start of a whole new system, machines may be slow to come up
 DISK_STUCK_S = 0.3  # a save that takes longer makes the disk unfit
 DISK_WELL_S = 0.2  # a save that takes no longer makes it fit again
@@ -76,6 +76,8 @@
 
     def picture(self, now: float, own: Peer, expected: Iterable[str]) -> dict[str, Peer]:
         """Every known machine as a plan needs it. `expected`: those that get the grace of a new system."""
+        for address in [a for a, known in self._known.items() if now - known.heard_at >= FORGET_S]:
+            del self._known[address]
         live = [known for known in self._known.values() if self._live(known, now)]
         elsewhere = {address for known in live for address in known.heartbeat.heard}
         pictured = {own.voter.address: own}
