--- a/roselink/dataplane/attempts.py
+++ b/roselink/dataplane/attempts.py
@@ -61,7 +61,7 @@
             exchange.request.method == b"HEAD",
             exchange.expires_at + OVER_S - now,
             answer,
-            partial(self._owner.wanted, exchange),
+            partial(self._wanted, exchange),
         )
         exchange.attempts[action.attempt] = answer
         self._owner.counts["resumed" if resume else "attempts"] += 1
@@ -74,7 +74,13 @@
             in_time = self._loop.time() < exchange.expires_at and exchange.broken and exchange.can_resume
         else:
             in_time = self._loop.time() < exchange.give_up_at
-        return in_time and self._owner.wanted(exchange)
+        return in_time and self._wanted(exchange)
+
+    def _wanted(self, exchange: Exchange) -> bool:
+        """Asked right before each write. What may run once only is never sent while another attempt of it may
+        have run, whatever the decider says."""
+        once = not exchange.route.repeatable
+        return not (once and exchange.may_run) and self._owner.wanted(exchange)
 
     def _render(self, exchange: Exchange, host: FleetHost, resume: bool) -> bytes:
         """The request as a host gets it now."""
--- a/roselink/dataplane/exchange.py
+++ b/roselink/dataplane/exchange.py
@@ -217,7 +217,7 @@
         if not exchange.begun:
             exchange.begun = True
             exchange.client.begin(self.status, relayed_headers(self.headers), length)
-            self._first_event(self)
+        self._first_event(self)
         return True
 
     def _part(self, data: bytes) -> None:
--- a/roselink/dataplane/interfaces.py
+++ b/roselink/dataplane/interfaces.py
@@ -12,9 +12,9 @@
 
 class Decisions(Protocol):
     """Which host gets which attempt, and when to give up. The engine feeds it, in this order for each
-    request: `RequestArrived`; then `FirstEvent`, `AttemptEnded` and `BudgetDecided` as they come;
-    `RequestClosed` once. Each attempt that was asked for ends with one `AttemptEnded`, also one called off by
-    the close, behind `RequestClosed`."""
+    request: `RequestArrived`; then `FirstEvent` (of each attempt whose events go on, once), `AttemptEnded`
+    and `BudgetDecided` as they come; `RequestClosed` once. Each attempt that was asked for ends with one
+    `AttemptEnded`, also one called off by the close, behind `RequestClosed`."""
 
     def handle(self, now: float, event: Event) -> list[Action]: ...
 
