--- a/roselink/dataplane/upstream.py
+++ b/roselink/dataplane/upstream.py
@@ -201,7 +201,9 @@
         if 100 <= self._status < 200 or not isinstance(attempt, FleetAttempt):
             return
         answered = self._headers.get(b"x-request-id")
-        if answered != attempt.request_id:
+        # A surplus answer has the id of its own request. What has none is a rejection, or nobody's.
+        rejected = not answered and self._outcome() is Outcome.FULL
+        if answered != attempt.request_id and not rejected:
             self._surplus += 1
             if not answered or self._surplus > SURPLUS_LIMIT:
                 raise ValueError("an answer to no request of ours")
