--- a/roselink/dataplane/server.py
+++ b/roselink/dataplane/server.py
@@ -156,13 +156,26 @@
         make_room: Callable[[], bool],
     ) -> None:
         self.engine = engine
-        super().__init__(loop, descriptors, make_room, _sizes(Limits()))
-        self.limit(Limits())
+        self._limits: tuple[Limits, ...] = (Limits(),)  # the latest last
+        self._told = False  # whether they are a configuration's
+        super().__init__(loop, descriptors, make_room, _sizes(0, 0))
+        self._apply()
 
     def limit(self, limits: Limits) -> None:
-        """Go by the configuration's limits from now on."""
-        self.sizes = _sizes(limits)
-        head_s, idle_s = limits.header_timeout_ms / 1000, limits.idle_timeout_ms / 1000
+        """Go by a configuration's limits from now on, and by those before where they allow more: clients that
+        have not heard of the new ones, or sent before them, keep within the old."""
+        if limits != self._limits[-1]:
+            self._limits = (self._limits[-1], limits) if self._told else (limits,)
+            self._apply()
+        self._told = True
+
+    def _apply(self) -> None:
+        self.sizes = _sizes(
+            max(limits.max_header_bytes for limits in self._limits),
+            max(limits.max_body_bytes for limits in self._limits),
+        )
+        head_s = max(limits.header_timeout_ms for limits in self._limits) / 1000
+        idle_s = max(limits.idle_timeout_ms for limits in self._limits) / 1000
         self._times = Times(head_s, head_s + BODY_S, UNREAD_S, (idle_s + IDLE_OVER_S,))
 
     def times(self) -> Times:
@@ -175,8 +188,7 @@
         return super().crowded() or self.engine.body_bytes > BODIES_LIMIT
 
 
-def _sizes(limits: Limits) -> Sizes:
-    head, body = limits.max_header_bytes, limits.max_body_bytes
+def _sizes(head: int, body: int) -> Sizes:
     return Sizes(head, body, head + 4 * body)
 
 
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -130,6 +130,30 @@
         assert await client.ended()
 
 
+@pytest.mark.parametrize(
+    ("idle_ms", "rested", "kept"), [(2000, 4.9, True), (2000, 6.1, False), (9000, 9.9, True)]
+)
+@on_loop
+async def test_limits_of_the_configuration_before_hold_where_they_allow_more(
+    idle_ms: int, rested: float, kept: bool
+) -> None:
+    """Clients that have not heard of a shorter time go on by the longer one."""
+    async with stage(plain(), limits=LIMITS) as s, s.client() as client:
+        assert (await client.ask("/once/x", body=b"x" * 3000)).status == 200
+        assert s.authority.now_in_force is not None
+        lines = s.authority.now_in_force.hosts
+        for _ in range(2):  # the same again changes nothing
+            told = LIMITS | {"idle_timeout_ms": idle_ms, "max_body_bytes": 10}
+            s.authority.tell(s.snapshot(*lines, limits=told))
+        [connection] = s.plane.server.connections
+        connection.last_change -= rested
+        s.plane.server.sweep()
+        if kept:
+            assert (await client.ask("/once/x", body=b"x" * 3000)).status == 200
+        else:
+            assert await client.ended()
+
+
 @on_loop
 async def test_a_sweep_that_comes_late_ends_nothing() -> None:
     """After a freeze what came meanwhile has not been read."""
