--- a/roselink/__main__.py
+++ b/roselink/__main__.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import os
 import sys
 
@@ -14,7 +15,11 @@
 
 
 def run_program(command: str) -> int:
-    """Run the gateway or the control plane until it ends; the exit status."""
+    """Run the gateway or the control plane until it ends; the exit status.
+
+    A crash in native code writes where each thread was to the log.
+    """
+    faulthandler.enable()
     from roselink.model.settings import DEFAULT_PATH, ENVIRONMENT_VARIABLE, SettingsError, load_settings
 
     try:
