Core process: the chain takes part before the HTTP libraries are loaded

The chain, its peers' port and the pulls start first; the HTTP libraries are imported in a thread. Events before that go out as plain JSON lines. Views and what is in force at a gateway are logged. Tests of a whole core process pass unchanged.

--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -1,6 +1,8 @@
 """One core process: the chain, the pull service, the list reader and the operator's interface, assembled.
 
-Order of imports matters: Twisted's reactor must be installed on the event loop before anything imports it.
+The chain takes part before the HTTP libraries are loaded: their imports are most of a start's processor time,
+and while the core waits for a view the gateways wait for the core. They are imported in a thread meanwhile.
+Their order matters: Twisted's reactor must be installed on the event loop before anything else imports it.
 """
 
 from __future__ import annotations
@@ -8,6 +10,7 @@
 import asyncio
 import gc
 import importlib
+import json
 import os
 import signal
 import sys
@@ -58,20 +61,28 @@
     """Run a core process until SIGTERM. Returns when it has ended in order."""
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
-    reactor = install_reactor(loop)
-    from roselink.control.logs import start_logs
-
-    start_logs(settings.node_name)
-    process = CoreProcess(settings, loop, reactor, _make_node)
-    reactor.callWhenRunning(process.begin)
-    reactor.run(installSignalHandlers=False)
+    process = CoreProcess(settings, loop, _make_node)
+    loop.call_soon(process.begin)
+    loop.run_forever()
     if process.failure is not None:
         raise process.failure
 
 
-def install_reactor(loop: asyncio.AbstractEventLoop) -> Any:
-    """Put Twisted on the event loop and return its reactor. No TLS is spoken: its libraries stay unloaded."""
+def load_reactor() -> None:
+    """Import what `install_reactor` needs. No TLS is spoken: its libraries stay unloaded."""
     sys.modules.setdefault("OpenSSL", None)  # type: ignore[arg-type]
+    importlib.import_module("twisted.internet.asyncioreactor")
+
+
+def load_http() -> None:
+    """Import the HTTP sides; the reactor must have been installed."""
+    for name in ("logs", "api", "platform_client"):
+        importlib.import_module(f"roselink.control.{name}")
+
+
+def install_reactor(loop: asyncio.AbstractEventLoop) -> Any:
+    """Put Twisted on the event loop and return its reactor."""
+    load_reactor()
     from twisted.internet import asyncioreactor
 
     asyncioreactor.install(loop)  # type: ignore[no-untyped-call]
@@ -86,6 +97,36 @@
     return made
 
 
+class EventLog:
+    """Events by name, one JSON line each: plainly until the logging library is loaded, then through it."""
+
+    def __init__(self) -> None:
+        self._logger: Any = None
+
+    def begin(self, logger: Any) -> None:
+        """The library is there."""
+        self._logger = logger
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Something that is as it should be."""
+        self._say("info", event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Something that people may have to look at."""
+        self._say("warning", event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        """Something that keeps the process from its work."""
+        self._say("error", event, fields)
+
+    def _say(self, level: str, event: str, fields: dict[str, Any]) -> None:
+        if self._logger is None:
+            line = json.dumps({**fields, "event": event, "level": level}, default=str)
+            sys.stderr.write(line + "\n")
+        else:
+            getattr(self._logger, level)(event, **fields)
+
+
 class CoreProcess:
     """The parts of one process, and their start and end."""
 
@@ -93,13 +134,10 @@
         self,
         settings: ProcessSettings,
         loop: asyncio.AbstractEventLoop,
-        reactor: Any,
         make_node: Callable[[ProcessSettings, PeerPool], CoreNode],
     ) -> None:
-        import structlog
-
-        self._settings, self._loop, self._reactor, self._make_node = settings, loop, reactor, make_node
-        self._log = structlog.get_logger("roselink.core")
+        self._settings, self._loop, self._make_node = settings, loop, make_node
+        self._log = EventLog()
         self._stopping = False
         self._halted = False
         self._starting: asyncio.Task[None] | None = None
@@ -143,32 +181,44 @@
     def _halt(self) -> None:
         if not self._halted:
             self._halted = True
-            self._reactor.stop()
+            self._loop.stop()
 
     async def _start(self) -> None:
-        from roselink.control.api import AdminApi
-
         settings = self._settings
         self._node = node = self._make_node(settings, self._pool)
+        node.on_view(self._log_view)
         self._pulls = PullService(node, self._pool)
-        self._api = AdminApi(node, self._pulls, self._reactor)
         await self._listen(settings.ip, settings.peer_port)
         node.start()
         self._pulls.start()
-        if settings.platform is not None:
-            from roselink.control.platform_client import PlatformClient
+        await self._start_http(node, self._pulls)
+        gc.collect()
+        gc.freeze()
+        self._log.info("core_started", peer_port=settings.peer_port, epoch=node.epoch)
+
+    async def _start_http(self, node: CoreNode, pulls: PullService) -> None:
+        """Load the HTTP libraries beside the running chain, then listen to the operator."""
+        settings = self._settings
+        await self._loop.run_in_executor(None, load_reactor)
+        reactor = install_reactor(self._loop)
+        await self._loop.run_in_executor(None, load_http)
+        import structlog
+
+        from roselink.control.api import AdminApi
+        from roselink.control.logs import start_logs
+        from roselink.control.platform_client import PlatformClient
 
-            self._client = PlatformClient(self._reactor, settings.platform, self._pulls.hosts_listed)
+        start_logs(settings.node_name)
+        self._log.begin(structlog.get_logger("roselink.core"))
+        reactor.startRunning(installSignalHandlers=False)
+        if settings.platform is not None:
+            self._client = PlatformClient(reactor, settings.platform, pulls.hosts_listed)
             node.on_view(self._role_changed)
             self._role_changed()
+        self._api = AdminApi(node, pulls, reactor)
         admin = settings.bind.get("admin")
         if admin is not None:
-            self._listening = self._reactor.listenTCP(
-                admin[1], self._api.site(), backlog=128, interface=admin[0]
-            )
-        gc.collect()
-        gc.freeze()
-        self._log.info("core_started", peer_port=settings.peer_port, admin=admin, epoch=node.epoch)
+            self._listening = reactor.listenTCP(admin[1], self._api.site(), backlog=128, interface=admin[0])
 
     async def _listen(self, host: str, port: int) -> None:
         """Take the port for peers; a former process may hold it for a moment."""
@@ -183,6 +233,11 @@
                     self._log.warning("port_taken", port=port)
                 await asyncio.sleep(LISTEN_PAUSE_S)
 
+    def _log_view(self) -> None:
+        if self._node is not None:
+            node = self._node
+            self._log.info("view", epoch=node.epoch, tail=node.tail, is_active_tail=node.is_tail)
+
     def _role_changed(self) -> None:
         """The tail of the active view reads the platform's list."""
         if self._client is not None and self._node is not None and not self._stopping:
--- a/roselink/distribution/puller.py
+++ b/roselink/distribution/puller.py
@@ -18,6 +18,7 @@
 
 log = logging.getLogger("roselink.distribution")
 
+EPOCH_SPAN = 1 << 32  # versions of hosts and roster are epoch and counter (`VersionVector`)
 SETTINGS_CHECK_S = 1.0  # the file may change without a signal
 Clock = Callable[[], float]
 Stamp = tuple[int, int, int]
@@ -135,6 +136,13 @@
                 case SendPull(call, address, pull, timeout_s):
                     self._pool.call(address, pull, timeout_s, partial(self._answered, call))
                 case Apply(snapshot):
+                    held = snapshot.vector
+                    log.info(
+                        "in force: configuration=%d hosts=%d:%d roster=%d:%d",
+                        held.configuration,
+                        *divmod(held.hosts, EPOCH_SPAN),
+                        *divmod(held.roster, EPOCH_SPAN),
+                    )
                     self._tell(snapshot)
                 case Confirmed(at):
                     for confirmed in self._on_confirmed:
