--- a/roselink/control/node.py
+++ b/roselink/control/node.py
@@ -22,7 +22,8 @@
     Unsettled,
     ViewChanged,
 )
-from roselink.control.member import HANDLED, TICK_S, Member, Start
+from roselink.control.member import TICK_S, Member, Start
+from roselink.control.messages import HANDLED
 from roselink.control.storage import Storage, record_number
 from roselink.model.settings import ProcessSettings
 from roselink.protocol.chain import ConfigurationOrder, StoredState, Votes
--- a/tests/control/test_member.py
+++ b/tests/control/test_member.py
@@ -168,7 +168,7 @@
     peers = Peers(B)
     for at, heartbeat in beats:
         peers.hear(heartbeat, at)
-    own = Stage(STORED).member._own_peer(now)
+    own = Stage(STORED).member.presence.own(None, now)
     seen = peers.picture(now, own, ())["a:1"]
     assert (seen.live, seen.steady) == (live, steady)
 
