--- a/roselink/control/messages.py
+++ b/roselink/control/messages.py
@@ -54,7 +54,7 @@
 
 
 def _on_promise(member: Member, answer: Promise, now: float) -> None:
-    member.proposer.promised(answer)
+    member.proposer.promised(answer, now)
 
 
 def _on_refusal(member: Member, answer: Refusal, now: float) -> None:
--- a/roselink/control/proposing.py
+++ b/roselink/control/proposing.py
@@ -19,6 +19,7 @@
 OPEN_S = 0.25  # a vote of another that stays open for so long is taken up
 ATTEMPT_S = 0.4  # an attempt without a majority for so long is given up; longer with each next one
 ATTEMPT_MOST_S = 1.6
+ASK_AGAIN_S = 0.15  # voters without an answer are asked again
 OUTSIDE_S = 1.0  # how much later members propose that see others content with the chain
 
 
@@ -31,6 +32,7 @@
     rules: Rules
     emit: Emit
     _attempt: Attempt | None = None
+    _asked_at: float = 0.0
     _round: int = 0
     _tries: int = 0
     _wanted_since: float | None = None
@@ -51,6 +53,7 @@
             return
         if self._attempt is not None:
             if now - self._attempt.began < min(ATTEMPT_S * 1.5**self._tries, ATTEMPT_MOST_S):
+                self._ask_again(self._attempt, now)
                 return
             self._attempt = None
             self._not_before = now + self._spread(self._tries)
@@ -89,17 +92,25 @@
         self._tries += 1
         ballot = Ballot(self._round, self.voter.address, self.session)
         self._attempt = Attempt(view, ballot, wanted, now)
-        for voter in view.voters:
-            self.emit(Send(voter.address, Prepare(self.voter, view.epoch + 1, ballot)))
-
-    def promised(self, answer: Promise) -> None:
+        self._ask(self._attempt, now)
+
+    def _ask(self, attempt: Attempt, now: float) -> None:
+        """Send the attempt's question to those who have not answered it."""
+        self._asked_at = now
+        question: Prepare | Accept = Prepare(self.voter, attempt.view.epoch + 1, attempt.ballot)
+        if attempt.value is not None:
+            question = Accept(self.voter, attempt.ballot, attempt.value)
+        for voter in attempt.unanswered():
+            self.emit(Send(voter.address, question))
+
+    def _ask_again(self, attempt: Attempt, now: float) -> None:
+        if now - self._asked_at >= ASK_AGAIN_S:
+            self._ask(attempt, now)
+
+    def promised(self, answer: Promise, now: float) -> None:
         """A voter's promise."""
-        if self._attempt is None:
-            return
-        accept = self._attempt.promise(answer)
-        if accept is not None:
-            for voter in self._attempt.view.voters:
-                self.emit(Send(voter.address, Accept(self.voter, accept.ballot, accept.proposal)))
+        if self._attempt is not None and self._attempt.promise(answer):
+            self._ask(self._attempt, now)
 
     def refused(self, answer: Refusal, now: float) -> None:
         """A voter has promised another ballot: wait, and come with a higher one."""
--- a/roselink/control/views.py
+++ b/roselink/control/views.py
@@ -69,11 +69,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """Figures for plans. `tolerated`: machines that may be lost at once. Times are seconds."""
+    """Figures for plans. `tolerated`: machines that may be lost at once. Times are seconds.
+
+    A voter that has been silent for `gone_after_s` gives its place to a joiner, and goes without one while
+    more than `2 * tolerated + 1` stay: fewer votes of the living then decide. It comes back as any joiner
+    does.
+    """
 
     tolerated: int
-    remove_after_s: float = 2.0
-    replace_after_s: float = 0.8
+    gone_after_s: float = 0.45
 
 
 def first_view(seeds: Iterable[str]) -> View:
@@ -149,13 +153,13 @@
         if same is not None:
             voters[same] = joiner
             continue
-        gone = _longest_silent(voters, peers, rules.replace_after_s)
+        gone = _longest_silent(voters, peers, rules.gone_after_s)
         if gone is not None:
             voters[gone] = joiner
         elif len(voters) < MAX_VOTERS:
             voters.append(joiner)
     while len(voters) > 2 * rules.tolerated + 1:
-        gone = _longest_silent(voters, peers, rules.remove_after_s)
+        gone = _longest_silent(voters, peers, rules.gone_after_s)
         if gone is None:
             break
         del voters[gone]
--- a/roselink/control/votes.py
+++ b/roselink/control/votes.py
@@ -93,15 +93,20 @@
     _promises: dict[Voter, Promise] = field(default_factory=dict)
     _accepted: set[Voter] = field(default_factory=set)
 
-    def promise(self, answer: Promise) -> Accept | None:
-        """Count a promise; the proposal of phase 2 once a majority has promised."""
+    def promise(self, answer: Promise) -> bool:
+        """Count a promise; whether phase 2 begins by it: then `value` is what to propose."""
         if not self._concerns(answer) or self.value is not None:
-            return None
+            return False
         self._promises[answer.sender] = answer
         if len(self._promises) < majority(self.view):
-            return None
+            return False
         self.value = self._choose()
-        return Accept(Voter(self.ballot.address, 0), self.ballot, self.value)
+        return True
+
+    def unanswered(self) -> list[Voter]:
+        """The voters who have not answered in this phase."""
+        answered = set(self._promises) if self.value is None else self._accepted
+        return [voter for voter in self.view.voters if voter not in answered]
 
     def _concerns(self, answer: Promise | Accepted) -> bool:
         """Whether this very ballot of this epoch is meant; rounds begin anew in each epoch."""
