Chain: one change of view after a loss of the whole core, and no wait for the decision

Ruled out by the log: imports (done by then), the disk. A Sync names its view and is followed at once; a member that has just started waits up to 0.3 s for the chain's others; a machine that has not heard this one gets a heartbeat at once. The simulated restart fails without each.

--- a/roselink/control/chain.py
+++ b/roselink/control/chain.py
@@ -223,7 +223,7 @@
     def _send_sync(self, now: float) -> None:
         if self._successor is not None and self.view is not None:
             self._sent_at = now
-            self.emit(Send(self._successor.voter.address, Sync(self.voter, self.view.epoch, self._first)))
+            self.emit(Send(self._successor.voter.address, Sync(self.voter, self.view, self._first)))
 
     def _send_write(self, write: Write) -> None:
         if self._successor is not None:
--- a/roselink/control/member.py
+++ b/roselink/control/member.py
@@ -34,7 +34,7 @@
 from roselink.control.proposing import Proposer
 from roselink.control.reads import ReadRounds
 from roselink.control.state import EMPTY
-from roselink.control.views import Rules, first_view, link_of
+from roselink.control.views import Rules, first_view, link_of, reunited
 from roselink.control.votes import Voting
 from roselink.protocol.chain import (
     ConfigurationOrder,
@@ -46,6 +46,7 @@
 from roselink.protocol.records import encode
 
 TICK_S = 0.05  # how often the driver calls `tick`
+START_PATIENCE_S = 0.3  # after its start a member waits so long for the chain's others before it plans
 SLEPT_S = 0.3  # ticks further apart mean that this process did not run
 DISK_RETRY_S = 0.2
 
@@ -99,7 +100,7 @@
         self.calls = OwnCalls(voter, self.emit)
         self._numbers = start.session
         self._announced = (0, False)
-        self._ticked_at = now
+        self._ticked_at = self._began_at = now
         self._tried_disk_at = now
         if start.state is not None and not whole_new:
             self.chain.restore(start.state)
@@ -282,6 +283,8 @@
             return
         outside = not self.chain.taking_part and self.peers.settled(now, self.view.epoch)
         picture = self.presence.picture(self.view, now)
+        if now - self._began_at < START_PATIENCE_S and not reunited(self.view, picture):
+            return  # the others may be starting too, after a loss of the whole core
         self.proposer.consider(self.voting, picture, outside, now)
 
     # --- effects
--- a/roselink/control/messages.py
+++ b/roselink/control/messages.py
@@ -41,6 +41,8 @@
     if heartbeat.sender.address == member.voter.address:
         return
     member.peers.hear(heartbeat, now)
+    if member.voter.address not in heartbeat.heard:
+        member.presence.greet(member.view, now)
     if member.view is not None and heartbeat.epoch < member.view.epoch:
         member.emit(Send(heartbeat.sender.address, Decided(member.voter, member.view)))
 
@@ -74,6 +76,7 @@
 
 
 def _on_sync(member: Member, message: Sync, now: float) -> None:
+    member.follow(message.view, now)
     member.chain.on_sync(message)
 
 
--- a/roselink/control/presence.py
+++ b/roselink/control/presence.py
@@ -11,6 +11,7 @@
 from roselink.protocol.chain import Heartbeat, View, Voter
 
 HEARTBEAT_S = 0.1
+GREETING_S = 0.02  # between a heartbeat and one that answers a machine which has not heard this one yet
 SILENT_BEATS = 3  # a machine that says nothing gets one heartbeat in so many
 
 
@@ -34,6 +35,12 @@
         self.leaving = True
         self._beat_at = float("-inf")
 
+    def greet(self, view: View | None, now: float) -> None:
+        """A machine speaks that has not heard this one: tell it at once, and not with the next heartbeat."""
+        if now - self._beat_at >= GREETING_S:
+            self._beat_at = float("-inf")
+            self.beat(view, now)
+
     def own(self, view: View | None, now: float) -> Peer:
         """This member as the others see it."""
         return Peer(
--- a/roselink/control/views.py
+++ b/roselink/control/views.py
@@ -122,6 +122,13 @@
     return proposal
 
 
+def reunited(view: View, peers: Mapping[str, Peer]) -> bool:
+    """Whether all machines of the view's chain are there and hear each other, in whatever process."""
+    found = [peers.get(link.voter.address) for link in view.chain]
+    group = tuple(peer for peer in found if peer is not None and peer.fit)
+    return len(group) == len(view.chain) and _all_hear(group)
+
+
 def whole(view: View, peers: Mapping[str, Peer]) -> bool:
     """Whether every process that the view has in its chain takes part, as far as is known."""
     return all(_takes_part(view, link, peers.get(link.voter.address)) for link in view.chain)
--- a/roselink/protocol/chain.py
+++ b/roselink/protocol/chain.py
@@ -189,12 +189,20 @@
 @record(44)
 @dataclass(frozen=True, slots=True)
 class Sync:
-    """The whole state with which the epoch begins, from predecessor to successor."""
+    """The whole state with which the epoch begins, from predecessor to successor.
+
+    It names the view, so that a successor that has not heard of the decision yet follows it at once.
+    """
 
     sender: Voter
-    epoch: int
+    view: View
     state: ConfigurationState
 
+    @property
+    def epoch(self) -> int:
+        """The epoch of its view."""
+        return self.view.epoch
+
 
 @record(45)
 @dataclass(frozen=True, slots=True)
--- a/tests/control/test_chain.py
+++ b/tests/control/test_chain.py
@@ -9,7 +9,17 @@
 from roselink.control.chain import ChainMember
 from roselink.control.effects import Effect, Persist, Send, Store
 from roselink.control.state import EMPTY, apply, digest_of
-from roselink.protocol.chain import Ack, ConfigurationOrder, Link, StoredState, Sync, View, Voter, Write
+from roselink.protocol.chain import (
+    Ack,
+    ConfigurationOrder,
+    ConfigurationState,
+    Link,
+    StoredState,
+    Sync,
+    View,
+    Voter,
+    Write,
+)
 from roselink.protocol.records import encode
 
 A, B, C = (Voter(name, 0) for name in "abc")
@@ -17,7 +27,14 @@
 FIRST = ConfigurationOrder(0, 1, b"one", digest_of(0, b"one"))
 SECOND = ConfigurationOrder(1, 2, b"two", digest_of(1, b"two"))
 STATE = apply(EMPTY, FIRST, refused=False)
-SYNC = Sync(A, 3, STATE)
+
+
+def sync(sender: Voter, epoch: int, state: ConfigurationState) -> Sync:
+    """The state with which an epoch of the same members begins."""
+    return Sync(sender, replace(VIEW, epoch=epoch), state)
+
+
+SYNC = sync(A, 3, STATE)
 WRITE = Write(A, 3, 2, False, SECOND)
 
 
@@ -56,7 +73,7 @@
 
 
 def test_the_head_pushes_its_durable_state() -> None:
-    assert Stage(A).sent() == [("b", Sync(A, 3, STATE))]
+    assert Stage(A).sent() == [("b", sync(A, 3, STATE))]
 
 
 def test_the_head_saves_what_it_had_not_saved_before_it_pushes() -> None:
@@ -68,20 +85,20 @@
     assert stage.sent() == []
     newest = apply(STATE, SECOND, refused=False)
     stage.member.on_persisted(0.0)
-    assert ("b", Sync(A, 4, newest)) in stage.sent()
+    assert ("b", sync(A, 4, newest)) in stage.sent()
 
 
 def test_a_member_saves_before_it_passes_on() -> None:
     stage = Stage(B)
     stage.member.on_sync(SYNC)
     assert stage.out() == [Persist(Store.STATE, encode(StoredState(3, STATE)))]
-    assert stage.saved() == [("c", Sync(B, 3, STATE))]
+    assert stage.saved() == [("c", sync(B, 3, STATE))]
     assert not stage.member.active
 
 
 def test_the_tail_commits_with_its_save() -> None:
     stage = Stage(C)
-    stage.member.on_sync(Sync(B, 3, STATE))
+    stage.member.on_sync(sync(B, 3, STATE))
     assert not stage.member.is_tail
     assert stage.saved() == [("b", Ack(C, 3, 1))]
     assert stage.member.is_tail and stage.member.committed == 1
@@ -117,10 +134,10 @@
 @pytest.mark.parametrize(
     "message",
     [
-        Sync(A, 2, EMPTY),
-        Sync(A, 4, EMPTY),
-        Sync(C, 3, EMPTY),
-        Sync(Voter("a", 9), 3, EMPTY),
+        sync(A, 2, EMPTY),
+        sync(A, 4, EMPTY),
+        sync(C, 3, EMPTY),
+        sync(Voter("a", 9), 3, EMPTY),
         replace(WRITE, epoch=2),
         replace(WRITE, epoch=4),
         replace(WRITE, sender=C),
@@ -150,7 +167,7 @@
 def test_a_process_that_started_later_takes_no_part(voter: Voter) -> None:
     stage = Stage(voter, session=8)
     assert not stage.member.taking_part
-    for message in (SYNC, Sync(B, 3, STATE), WRITE, Ack(B, 3, 1), Ack(C, 3, 1)):
+    for message in (SYNC, sync(B, 3, STATE), WRITE, Ack(B, 3, 1), Ack(C, 3, 1)):
         give(stage, message)
     assert stage.out() == [] and not stage.member.is_head and not stage.member.is_tail
 
@@ -179,8 +196,8 @@
     stage.out()
     stage.member.enter(replace(VIEW, epoch=4), False, 0.0)
     assert stage.saved() == []
-    stage.member.on_sync(Sync(A, 4, STATE))
-    assert stage.saved() == [("c", Sync(B, 4, STATE))]
+    stage.member.on_sync(sync(A, 4, STATE))
+    assert stage.saved() == [("c", sync(B, 4, STATE))]
 
 
 def test_what_has_no_acknowledgement_is_sent_again() -> None:
@@ -189,7 +206,7 @@
     head.member.resend(0.1)
     assert head.sent() == []
     head.member.resend(0.5)
-    assert head.sent() == [("b", Sync(A, 3, STATE))]
+    assert head.sent() == [("b", sync(A, 3, STATE))]
     head.member.on_ack(Ack(B, 3, 1))
     head.member.append(SECOND, False)
     head.saved()
--- a/tests/control/test_simulation.py
+++ b/tests/control/test_simulation.py
@@ -112,6 +112,30 @@
     assert submit(world, back[-1], order_on(0, 5)) == TakenOrder(1)
 
 
+@pytest.mark.parametrize("machines", [3, 5])
+@pytest.mark.parametrize("spread_s", [0.0, 0.1])
+def test_a_core_that_was_killed_whole_is_active_soon_after_one_change_of_view(
+    machines: int, spread_s: float
+) -> None:
+    world = calm(machines)
+    assert submit(world, world.up()[0], order_on(0, 5)) == TakenOrder(1)
+    newest = world.up()[0].member
+    assert newest is not None and newest.view is not None
+    epoch = newest.view.epoch
+    for machine in world.machines.values():
+        machine.kill()
+    world.run(1.0)
+    for place, machine in enumerate(world.machines.values()):
+        world.after(place * spread_s / machines, machine.start)
+    began = world.now
+    everyone = list(world.machines.values())
+    assert world.run_until(lambda: all(in_chain(world, machine) for machine in everyone), 4.0)
+    assert world.now - began < 0.35 + spread_s
+    tail = world.active_tail()
+    assert tail is not None and tail.member is not None and tail.member.view is not None
+    assert tail.member.view.epoch == epoch + 1
+
+
 def test_a_frozen_tail_confirms_nothing_old_when_it_wakes() -> None:
     world = calm()
     assert submit(world, world.up()[0], order_on(0, 5)) == TakenOrder(1)
