Quotas: gateways cut off from their owner go on longer; new owners hold back for them

Answers now tell what all live gateways used, so that a new owner holds back for those out of reach, and gateways alone go on at 0.8 of their recent rate for 3 s, confirmed or not.

--- a/roselink/membership/alone.py
+++ b/roselink/membership/alone.py
@@ -1,16 +1,17 @@
 """Decisions on one tenant's requests at a gateway that has no owner in reach.
 
-For a while the gateway goes on at its own recent rate: the owner that knew it holds as much back (`ledger`),
-or is dead and grants nothing, or a new owner hears of it soon. Beyond that, requests fit into a part of the
-rule's allowance, which nobody holds back.
+For a while the gateway goes on at most of its own recent rate, whether its roster is confirmed or not: the
+owner that knew its use holds as much back, and so does a new owner that heard from others how much all had
+used (`ledger`). Beyond that, requests fit into a part of the rule's allowance, which nobody holds back.
 """
 
 from __future__ import annotations
 
 from roselink.membership.usage import Usage
 
-ALONE_S = 2.0  # at the recent rate; in any window no more than this in all
-BURST_S = 1.0  # of the recent rate may come at once
+RATE_PART = 0.8  # of the recent rate
+ALONE_S = 3.0  # at that rate; in any window no more than this in all
+BURST_S = 0.6  # of that rate may come at once
 
 
 class Alone:
@@ -28,19 +29,19 @@
         """The owner is out of reach. `rate`: own use a second lately; `backed`: an owner knew of it."""
         self.under_way = True
         self._since = self._at = now
-        self._rate, self._level = rate, rate * BURST_S
+        self._rate = rate * RATE_PART
+        self._level = self._rate * BURST_S
         self._is_backed = backed
 
     def end(self) -> None:
         """An owner answered."""
         self.under_way = False
 
-    def admit(self, amount: float, most: float, fresh: bool, now: float) -> bool:
-        """Whether an amount may run. `most`: what may run in a window with nobody holding it back; `fresh`:
-        the roster was confirmed lately."""
+    def admit(self, amount: float, most: float, now: float) -> bool:
+        """Whether an amount may run. `most`: what may run in a window with nobody holding it back."""
         self._level = min(self._rate * BURST_S, self._level + self._rate * max(0.0, now - self._at))
         self._at = max(self._at, now)
-        if fresh and self._at_recent_rate(now):
+        if self._at_recent_rate(now):
             self._level -= amount
             self._backed.add(now, amount)
             return True
--- a/roselink/membership/ledger.py
+++ b/roselink/membership/ledger.py
@@ -5,8 +5,9 @@
 the latter together say how the bucket stands now. Where nobody knows, the term starts at a part of the
 rule's allowance, for gateways that are gone may have used any amount.
 
-An asker that falls silent may be cut off and admit at its recent rate by itself (`alone`): the owner
-holds that much back from the others meanwhile.
+An asker that falls silent may be cut off and admit at its recent rate by itself (`alone`): the owner holds
+that much back from the others meanwhile. So does a new owner, for all use that it heard of from the owner
+before and not from those who used it.
 """
 
 from __future__ import annotations
@@ -18,8 +19,8 @@
 from roselink.model.fleet import Member
 from roselink.protocol.ledger import Level, QuotaAnswer, QuotaAsk, Used, Verdict
 
-SILENT_S = 0.8  # askers with recent use are heard about twice as often (quota_client.SIGN_OF_LIFE_S)
-HELD_BACK_S = 2.0  # an asker admits by itself for no longer (alone.ALONE_S)
+SILENT_S = 0.65  # askers with recent use are heard about twice as often (quota_client.SIGN_OF_LIFE_S)
+HELD_BACK_S = 3.0  # an asker admits by itself for no longer (alone.ALONE_S)
 SURE_S = 1.0  # a level that was heard so long ago may have been taken up by others since
 START_S = 1.0  # the bonus comes within this time
 AHEAD_ABOVE = 0.5  # of the burst: tokens are lent ahead only from a bucket that is fuller
@@ -48,7 +49,8 @@
 class _Bucket:
     """One tenant in this owner's term. `assumed` is where the owner before stood at a moment, and this term
     counts from it; `told_at` is when an asker heard the newest level of that owner. `bonus` is what a term
-    that starts with nothing is still to gain, and `gained` what it has."""
+    that starts with nothing is still to gain, and `gained` what it has. `used` is what all had used by then,
+    and `heard_used` what those used that were heard in this term."""
 
     limit: Limit
     term: int
@@ -57,6 +59,8 @@
     assumed: tuple[float, float]
     bonus: float = 0.0
     gained: float = 0.0
+    used: float = 0.0
+    heard_used: float = 0.0
     told_at: float = float("-inf")
     askers: dict[Asker, _Record] = field(default_factory=dict)
 
@@ -84,7 +88,17 @@
             self.bonus = self.gained = 0.0
         self.level += level - self._refilled(self.assumed[0], now - self.assumed[1])
         self.level = min(self.limit.burst, self.level)
-        self.assumed, self.told_at = (level, now), at
+        self.assumed, self.told_at, self.used = (level, now), at, known.used
+
+    def held_back(self, asker: _Record, now: float) -> float:
+        """What may have been admitted by gateways out of reach."""
+        held = sum(record.held_back(now) for record in self.askers.values() if record is not asker)
+        silent = now - self.told_at
+        window_s = asker.usage.window_s
+        if SILENT_S < silent < window_s:
+            unheard = max(0.0, self.used - self.heard_used) / window_s
+            held += unheard * min(silent - SILENT_S, HELD_BACK_S)
+        return held
 
     def _refilled(self, level: float, after_s: float) -> float:
         return min(self.limit.burst, level + self.limit.rate_per_s * after_s)
@@ -145,7 +159,10 @@
         if asker not in bucket.askers and ask.report is None:
             return QuotaAnswer(Verdict.REPORT_WANTED, ask.token)
         if ask.report is not None:
-            bucket.askers[asker] = _Record(self._usage(ask.report, now), now)
+            usage = self._usage(ask.report, now)
+            if asker not in bucket.askers:
+                bucket.heard_used += usage.total(now)
+            bucket.askers[asker] = _Record(usage, now)
         record = bucket.askers[asker]
         bucket.refill(now)
         if ask.known is not None and ask.known.age_ms < self._rule.window_s * 1000:
@@ -157,9 +174,10 @@
         ahead = self._lend(bucket, record, ask.ahead, now) if all(admitted) else 0.0
         record.heard_at = now
         record.rate = 0.0 if ask.leaving else record.usage.total(now) / self._rule.window_s
-        share = self._share(bucket, record, now)
+        used = self._used(bucket, now)
+        share = max(0.0, min(1.0, record.usage.total(now) / used)) if used > 0 else 0.0
         return QuotaAnswer(
-            Verdict.DECIDED, ask.token, admitted, ahead, retry_after_s, share, bucket.term, bucket.level
+            Verdict.DECIDED, ask.token, admitted, ahead, retry_after_s, share, bucket.term, bucket.level, used
         )
 
     def _usage(self, report: tuple[Used, ...], now: float) -> Usage:
@@ -173,7 +191,7 @@
     ) -> tuple[tuple[bool, ...], float]:
         """Each amount that the bucket holds is admitted; one above the whole burst wants a full bucket."""
         grace = GRACE_PART * self._rule.allowance(bucket.limit)
-        held_back = sum(other.held_back(now) for other in bucket.askers.values() if other is not record)
+        held_back = bucket.held_back(record, now)
         decisions = []
         retry_after_s = 0.0
         for amount in amounts:
@@ -193,10 +211,9 @@
             record.usage.add(now, ahead)
         return ahead
 
-    def _share(self, bucket: _Bucket, record: _Record, now: float) -> float:
-        totals = {asker: entry.usage.total(now) for asker, entry in bucket.askers.items()}
-        for asker, entry in list(bucket.askers.items()):
-            if entry is not record and not totals[asker] and now - entry.heard_at > self._rule.window_s:
+    def _used(self, bucket: _Bucket, now: float) -> float:
+        """What the askers used in the last window, but for those that left; forgets who used nothing."""
+        for asker, record in list(bucket.askers.items()):
+            if not record.usage.total(now) and now - record.heard_at > self._rule.window_s:
                 del bucket.askers[asker]
-        whole = sum(totals.values())
-        return max(0.0, min(1.0, record.usage.total(now) / whole)) if whole > 0 else 0.0
+        return sum(max(0.0, record.usage.total(now)) for record in bucket.askers.values() if record.rate > 0)
--- a/roselink/membership/quota_client.py
+++ b/roselink/membership/quota_client.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from roselink.membership.alone import Alone
 from roselink.membership.repeats import RefreshRoster
@@ -80,7 +80,7 @@
     failures: int = 0
     told: int = 0  # the token under which the owner has our report
     unknown: float = 0.0  # admitted here since an owner last answered
-    known: tuple[int, float, float] | None = None  # an owner's term, its bucket's level, and when we heard it
+    known: tuple[Level, float] | None = None  # an owner's level, and when we heard it
     lease: float = 0.0
     lease_until: float = 0.0
     returned: float = 0.0
@@ -217,8 +217,8 @@
         if state.told != token or state.alone.under_way:
             report = state.used.report(now)
             if state.known is not None:
-                term, level, at = state.known
-                known = Level(term, level, int((now - at) * 1000))
+                heard, at = state.known
+                known = replace(heard, age_ms=int((now - at) * 1000))
         returned, state.returned = state.returned, 0.0
         return QuotaAsk(
             tenant,
@@ -242,7 +242,7 @@
         state.alone.end()
         state.failures, state.told, state.share = 0, answer.token, answer.share
         state.unknown -= ended.unknown
-        state.known = answer.term, answer.level, now
+        state.known = Level(answer.term, answer.level, answer.used, 0), now
         effects: list[Effect] = []
         for entry, admitted in zip(ended.asked, answer.admitted, strict=False):
             if admitted:
@@ -269,7 +269,7 @@
     def _decide_alone(self, state: _Tenant, entry: _Waiting, now: float) -> QuotaDecided:
         part = max(state.share * LOCAL_PART, NEWCOMER_PART / self._roles.size)
         most = part * self._rule.allowance(state.limit)
-        if not state.alone.admit(entry.amount, most, self._roles.fresh(now), now):
+        if not state.alone.admit(entry.amount, most, now):
             return QuotaDecided(entry.number, False, RETRY_ALONE_S)
         state.used.add(now, entry.amount)
         state.unknown += entry.amount
--- a/roselink/protocol/ledger.py
+++ b/roselink/protocol/ledger.py
@@ -34,10 +34,12 @@
 @record(101)
 @dataclass(frozen=True, slots=True)
 class Level:
-    """How an owner's bucket stood so long ago. `term` names that owner's term."""
+    """How an owner's bucket stood so long ago. `term` names that owner's term; `used`: what the gateways that
+    it took for live had used in the window before."""
 
     term: int
     level: float
+    used: float
     age_ms: int
 
 
@@ -70,8 +72,8 @@
 class QuotaAnswer:
     """`admitted` has one decision an amount. `retry_after_s`: when the first refused one may come again.
 
-    `share`: the asker's part (0 to 1) of what all gateways admitted of the tenant in the last window. `term`
-    and `level` are the bucket's, after these decisions. `token` is the owner's.
+    `used`: what all live gateways admitted of the tenant in the last window; `share`: the asker's part of it
+    (0 to 1). `term` and `level` are the bucket's, after these decisions. `token` is the owner's.
     """
 
     verdict: Verdict
@@ -82,6 +84,7 @@
     share: float = 0.0
     term: int = 0
     level: float = 0.0
+    used: float = 0.0
 
 
 @record(99)
