--- a/roselink/membership/budget_service.py
+++ b/roselink/membership/budget_service.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import logging
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -31,6 +32,8 @@
 from roselink.protocol.ledger import QuotaAnswer, QuotaAsk, RepeatAnswer, RepeatAsk, Verdict
 from roselink.protocol.peers import Address, PeerPool, Reply
 
+log = logging.getLogger("roselink.membership")
+
 REPEAT_TIMEOUT_S = 0.1
 SOONEST_WAKE_S = 0.002
 
@@ -164,7 +167,11 @@
         self._performing = True
         try:
             while self._effects:
-                self._perform_one(self._effects.popleft())
+                effect = self._effects.popleft()
+                try:
+                    self._perform_one(effect)
+                except Exception:  # one request's fault must not keep the others from their decisions
+                    log.exception("a decision was not taken over")
         finally:
             self._performing = False
         self._schedule()
--- a/roselink/membership/roles.py
+++ b/roselink/membership/roles.py
@@ -14,7 +14,7 @@
 from roselink.model.fleet import Member
 from roselink.protocol.ledger import Verdict
 
-FRESH_S = 1.2  # an owner acts for so long after its newest confirmed pull was sent
+FRESH_S = 1.0  # an owner acts for so long after its newest confirmed pull was sent
 
 
 @dataclass(frozen=True, slots=True)
