--- /dev/null
+++ b/experiments/core.py
@@ -0,0 +1,147 @@
+"""The core without a network or a disk's waits: confirm rounds, heartbeats, and writes down the chain.
+
+A save is timed as processor time only, in a temporary folder; a machine's disk adds three syncs.
+"""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from experiments.measure import machine, processor_us, show, show_line
+from experiments.shapes import make_cores
+from roselink.control.effects import Effect, Send, Store
+from roselink.control.reads import ReadRounds, Waiting
+from roselink.control.state import HISTORY_LIMIT, apply, digest_of
+from roselink.control.storage import Storage, record_number
+from roselink.control.views import MAX_VOTERS
+from roselink.protocol.chain import (
+    ConfigurationOrder,
+    ConfigurationState,
+    ConfirmAnswer,
+    Heartbeat,
+    Link,
+    StoredState,
+    View,
+    Voter,
+    Write,
+)
+from roselink.protocol.peers import FrameReader, frame
+from roselink.protocol.records import encode
+
+VOTERS = (3, 5, MAX_VOTERS)
+CORES = (3, 9, 27, 54)
+DOCUMENTS = (36_640, 98_740, 164_100)  # bytes; of 10, 200 and 400 routes with 200 tenants
+HISTORY_ENTRY = 48  # bytes
+TIMES = 100
+SAVES = 3
+NOTICE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class MessageCost:
+    """So many members: processor time in microseconds, and bytes, of all messages of one round or beat."""
+
+    members: int
+    spent_us: float
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class WriteCost:
+    """One write at one member of the chain, with a full history."""
+
+    document: int
+    carry_us: float
+    save_us: float
+    carried_bytes: int
+    saved_bytes: int
+
+
+def round_cost(count: int, times: int) -> MessageCost:
+    """One confirm round at a tail with so many voters, their answers included."""
+    voters = tuple(Voter(address, 1) for address in make_cores(count))
+    view = View(1, voters, tuple(Link(voter, 1, 1) for voter in voters))
+    sent: list[Effect] = []
+    rounds = ReadRounds(voters[-1], sent.append)
+    number, size = 0, 0
+
+    def confirm() -> None:
+        nonlocal number, size
+        number += 1
+        sent.clear()
+        rounds.ask(Waiting(voters[-1].address, number, 0), view, True, float(number))
+        size = 0
+        for voter, effect in zip(voters, sent, strict=True):
+            if not isinstance(effect, Send):
+                raise RuntimeError("a round only sends")
+            size += len(frame(NOTICE, 0, effect.message))
+            answer = frame(NOTICE, 0, ConfirmAnswer(voter, 1, number, True))
+            size += len(answer)
+            for _, _, message in FrameReader().feed(answer):
+                rounds.answer(message)
+
+    spent_us = processor_us(confirm, times)
+    return MessageCost(count, spent_us, size)
+
+
+def beat_cost(count: int, times: int) -> MessageCost:
+    """One heartbeat of a member to all others, and one from each of them; bytes of those it sends."""
+    beat = Heartbeat(Voter(make_cores(1)[0], 1), 1, 1, 1, 1, True, True, False, True, make_cores(count))
+    data = frame(NOTICE, 0, beat)
+
+    def beats() -> None:
+        for _ in range(count - 1):
+            frame(NOTICE, 0, beat)
+            FrameReader().feed(data)
+
+    return MessageCost(count, processor_us(beats, times), (count - 1) * len(data))
+
+
+def write_cost(document: int, saves: int) -> WriteCost:
+    """A document of so many bytes goes on from one member to the next, and to a disk."""
+    body = b"x" * document
+    order = ConfigurationOrder(0, 5, body, digest_of(0, body))
+    write = Write(Voter(make_cores(1)[0], 1), 1, 2, False, order)
+    data = frame(NOTICE, 0, write)
+    full = ConfigurationState(1, 1, b"", bytes(HISTORY_ENTRY * HISTORY_LIMIT))
+    payload = encode(StoredState(1, apply(full, order, False)))
+
+    def carry() -> None:
+        FrameReader().feed(data)
+        encode(StoredState(1, apply(full, order, False)))
+        frame(NOTICE, 0, write)
+
+    with tempfile.TemporaryDirectory() as folder:
+        storage = Storage(folder)
+        storage.load()
+        number = record_number(Store.STATE)
+        save_us = processor_us(lambda: storage.save(Store.STATE, number, payload), saves)
+    return WriteCost(document, processor_us(carry, saves), save_us, len(data), len(payload))
+
+
+def main(
+    voters: Sequence[int] = VOTERS,
+    cores: Sequence[int] = CORES,
+    documents: Sequence[int] = DOCUMENTS,
+    times: int = TIMES,
+    saves: int = SAVES,
+) -> None:
+    """Measure and print."""
+    print(machine())
+    rounds = [round_cost(count, times) for count in voters]
+    show("Confirm rounds", ("voters", "us", "bytes"), [(r.members, r.spent_us, r.size) for r in rounds])
+    show_line("round", "us", "voter", [(r.members, r.spent_us) for r in rounds])
+    beats = [beat_cost(count, times) for count in cores]
+    show("Heartbeats", ("core members", "us", "bytes"), [(b.members, b.spent_us, b.size) for b in beats])
+    show_line("beat", "us", "core member", [(b.members, b.spent_us) for b in beats])
+    writes = [write_cost(size, saves) for size in documents]
+    columns = ("document bytes", "carry us", "save us", "carried bytes", "saved bytes")
+    table = [(w.document, w.carry_us, w.save_us, w.carried_bytes, w.saved_bytes) for w in writes]
+    show("A write at one member", columns, table)
+    show_line("save", "us", "document byte", [(w.document, w.save_us) for w in writes])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/roselink/control/contract.py
@@ -0,0 +1,61 @@
+"""What the operator's interface and the replicated chain say to each other.
+
+An order ends with exactly one outcome. `Unsettled` says nothing about whether the order was or will be taken:
+the caller may send it again unchanged, to any member.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from roselink.control.effects import (
+    Confirmation,
+    Conflict,
+    NotNewer,
+    SubmitOutcome,
+    TakenOrder,
+    Unsettled,
+)
+from roselink.protocol.chain import ConfigurationOrder
+from roselink.protocol.peers import Address
+
+__all__ = [
+    "Address",
+    "ConfigurationOrder",
+    "Confirmation",
+    "Conflict",
+    "ControlNode",
+    "NotNewer",
+    "SubmitOutcome",
+    "TakenOrder",
+    "Unsettled",
+]
+
+
+class ControlNode(Protocol):
+    """The replicated chain as the rest of a core process sees it."""
+
+    @property
+    def is_tail(self) -> bool:
+        """Whether this member is the tail of its active view."""
+
+    @property
+    def tail(self) -> Address | None:
+        """The peer address of the active view's tail, if one is known."""
+
+    @property
+    def epoch(self) -> int:
+        """The number of the active view; 0 before the first."""
+
+    def core_addresses(self) -> tuple[str, ...]:
+        """The peer addresses ("ip:port") of the core's members."""
+
+    def submit(self, order: ConfigurationOrder, done: Callable[[SubmitOutcome], None]) -> None:
+        """Have an order decided; `done` is called once."""
+
+    def confirm(self, done: Callable[[Confirmation | None], None]) -> None:
+        """Read linearizably, begun after this call; `done` gets None when nothing could be confirmed."""
+
+    def on_view(self, callback: Callable[[], None]) -> None:
+        """Have `callback` called after each change of the active view."""
