--- a/roselink/__main__.py
+++ b/roselink/__main__.py
@@ -1,8 +1,9 @@
 """The command line: `python3 -m roselink COMMAND`.
 
-`router` and `controller` are the two long-running programs and take no options: what they need stands in the
-settings file that ROSELINK_BOOT names. They are dispatched before anything else is imported: each import is
-time in which a restarted process doesn't serve. All other commands are in `roselink.cli`.
+`router` and `controller` are the fleet's two programs and take no options: what they need stands in the
+settings file that ROSELINK_BOOT names. `gateway` is the gateway of the deployments in service, the same as
+`python3 -m roselink.gateway`. They are dispatched before anything else is imported: each import is time in
+which a restarted process doesn't serve. All other commands are in `roselink.cli`.
 """
 
 from __future__ import annotations
@@ -40,6 +41,10 @@
     """Run one command; the exit status."""
     if arguments and arguments[0] in ("router", "controller"):
         return run_program(arguments[0])
+    if arguments and arguments[0] == "gateway":
+        from roselink.gateway.__main__ import main as run_gateway
+
+        return run_gateway()
     from roselink.cli import run_command
 
     return run_command(arguments)
--- a/roselink/cli.py
+++ b/roselink/cli.py
@@ -1,12 +1,11 @@
-"""Commands for people: check a file, ask a controller for the fleet's state.
+"""Commands for people: check a file, show the fleet's state, run a whole fleet on loopback.
 
-Each returns the exit status: 0 all well, 1 the fleet can't tell, 2 the input is at fault.
+Each returns the exit status: 0 all well, 1 the fleet can't tell or can't run, 2 the input is at fault.
 """
 
 from __future__ import annotations
 
-import http.client
-import json
+import json as codec
 import sys
 from pathlib import Path
 
@@ -14,10 +13,10 @@
 
 from roselink.control.checking import Refused, check_document
 from roselink.model.settings import SettingsError, read_settings
+from roselink.status import NoAnswer, fetch_state, render
 
 EXIT_UNAVAILABLE = 1
 EXIT_FAULTS = 2
-STATUS_TIMEOUT_S = 3.0
 
 
 def check(file: Path) -> int:
@@ -26,10 +25,10 @@
     :param file: JSON; one with `node_name` is taken for a process's settings, any other for a configuration
     """
     try:
-        document = json.loads(file.read_bytes())
+        document = codec.loads(file.read_bytes())
     except OSError as error:
         return _report([f"{file}: cannot be read: {error.strerror}"])
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return _report([f"{file}: is not JSON: {error}"])
     if isinstance(document, dict) and "node_name" in document:
         try:
@@ -43,23 +42,54 @@
     return 0
 
 
-def status(address: str) -> int:
-    """Show the view, the versions and the gateways as one controller knows them.
+def status(address: str, *, json: bool = False) -> int:
+    """Show the view and its chain, the versions, each gateway's lag, and the owners of roles.
 
-    :param address: the controller's operator address, as ip:port
+    :param address: the operator address of any controller, as ip:port
+    :param json: all that is known, as JSON
     """
-    connection = http.client.HTTPConnection(address, timeout=STATUS_TIMEOUT_S)
     try:
-        connection.request("GET", "/status")
-        answer = connection.getresponse()
-        state = json.loads(answer.read())
-    except (OSError, ValueError, http.client.HTTPException) as error:
-        sys.stderr.write(f"{address}: {error}\n")
+        state = fetch_state(address)
+    except NoAnswer as error:
+        sys.stderr.write(f"{error}\n")
         return EXIT_UNAVAILABLE
-    finally:
-        connection.close()
-    sys.stdout.write(json.dumps(state, indent=2) + "\n")
-    return 0
+    text = codec.dumps(state, indent=2) if json else "\n".join(render(state))
+    sys.stdout.write(text + "\n")
+    return 0 if state["confirmed"] else EXIT_UNAVAILABLE
+
+
+def lab(
+    *,
+    routers: int = 3,
+    clients: int = 6,
+    seconds: float | None = None,
+    kill: bool = False,
+    folder: Path | None = None,
+) -> int:
+    """Run a whole fleet on loopback, with stand-ins for platform, hosts, operator and clients.
+
+    Prints what is where and a line a second, until Ctrl-C.
+
+    :param routers: how many gateways, beside 3 controllers
+    :param clients: how many send requests, one after the other each
+    :param seconds: end after so long
+    :param kill: kill a gateway and the chain's tail on the way
+    :param folder: keep settings, disks and logs in this new folder
+    """
+    from roselink.lab.command import Plan, run_lab
+    from roselink.lab.fleet import MOST_ROUTERS
+
+    if not (1 <= routers <= MOST_ROUTERS and clients >= 1):
+        return _report([f"routers: 1 to {MOST_ROUTERS}; clients: 1 at least"])
+    if folder is not None and folder.exists():
+        return _report([f"{folder}: is there already"])
+    report = run_lab(Plan(routers, clients, seconds, kill, folder), _say)
+    return EXIT_UNAVAILABLE if report.trouble is not None or report.late else 0
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(line + "\n")
+    sys.stdout.flush()
 
 
 def _report(faults: list[str]) -> int:
@@ -70,5 +100,5 @@
 
 def run_command(arguments: list[str]) -> int:
     """Run one of the commands above; the exit status."""
-    result = defopt.run([check, status], argv=arguments, short={})
+    result = defopt.run([check, status, lab], argv=arguments, short={})
     return int(result or 0)
--- a/roselink/control/api.py
+++ b/roselink/control/api.py
@@ -180,6 +180,7 @@
                 "is_tail": node.is_tail,
                 "tail": f"{tail[0]}:{tail[1]}" if tail is not None else None,
                 "core": list(node.core_addresses()),
+                "chain": list(node.chain_addresses()),
                 "confirmed": confirmation is not None,
                 "generation": confirmation.generation if confirmation is not None else None,
                 "versions": {
--- a/roselink/control/contract.py
+++ b/roselink/control/contract.py
@@ -51,6 +51,9 @@
     def core_addresses(self) -> tuple[str, ...]:
         """The peer addresses ("ip:port") of the core's members."""
 
+    def chain_addresses(self) -> tuple[str, ...]:
+        """The peer addresses of the newest known view's chain, from head to tail."""
+
     def submit(self, order: ConfigurationOrder, done: Callable[[SubmitOutcome], None]) -> None:
         """Have an order decided; `done` is called once."""
 
--- a/roselink/control/node.py
+++ b/roselink/control/node.py
@@ -146,6 +146,11 @@
         view = self._member.view if self._member is not None else None
         return () if view is None else tuple(voter.address for voter in view.voters)
 
+    def chain_addresses(self) -> tuple[str, ...]:
+        """The peer addresses of the newest known view's chain, from head to tail."""
+        view = self._member.view if self._member is not None else None
+        return () if view is None else tuple(link.voter.address for link in view.chain)
+
     @property
     def disk_ok(self) -> bool:
         """Whether the disk took the last saves in time."""
--- /dev/null
+++ b/tests/cli/test_status.py
@@ -0,0 +1,149 @@
+"""`status`: the table, all as JSON, and answers completed by the tail."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+import pytest
+
+from roselink.__main__ import main
+from roselink.cli import EXIT_UNAVAILABLE
+from roselink.membership.roles import owner_of
+from roselink.model.fleet import Member
+from roselink.status import owners, render
+
+Pages = dict[str, Any]
+
+
+def gateway(name: str, **changes: Any) -> dict[str, Any]:
+    plain = {"name": name, "address": "127.0.0.9:7500", "serving": True, "silent_s": 0.25}
+    return plain | {"configuration": 4, "hosts": 0, "roster": 0, "configuration_behind": False} | changes
+
+
+def state(**changes: Any) -> dict[str, Any]:
+    chain = ["127.0.0.1:7500", "127.0.0.2:7500"]
+    plain = {"epoch": 7, "is_tail": True, "tail": chain[-1], "core": sorted(chain), "chain": chain}
+    versions = {"configuration": 4, "hosts": (7 << 32) + 2, "roster": (7 << 32) + 1}
+    return plain | {"confirmed": True, "generation": 31, "versions": versions, "gateways": []} | changes
+
+
+CONFIGURATION = {"tenants": [{"name": "t-1"}], "services": [{"name": "model"}]}
+
+
+@contextmanager
+def controllers(*pages: Pages) -> Iterator[list[str]]:
+    """Controllers at 127.0.0.1, .2 and so on, all on one port."""
+
+    def handler(answers: Pages) -> type[BaseHTTPRequestHandler]:
+        class Handler(BaseHTTPRequestHandler):
+            def do_GET(self) -> None:
+                body = json.dumps(answers.get(self.path)).encode()
+                self.send_response(200 if self.path in answers else 503)
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, format: str, *args: Any) -> None:
+                pass
+
+        return Handler
+
+    servers: list[ThreadingHTTPServer] = []
+    try:
+        for number, answers in enumerate(pages):
+            port = servers[0].server_address[1] if servers else 0
+            servers.append(ThreadingHTTPServer((f"127.0.0.{number + 1}", port), handler(answers)))
+            threading.Thread(target=servers[-1].serve_forever, args=(0.01,), daemon=True).start()
+        yield [f"127.0.0.{number + 1}:{servers[0].server_address[1]}" for number in range(len(servers))]
+    finally:
+        for server in servers:
+            server.shutdown()
+            server.server_close()
+
+
+def test_the_table(capsys: pytest.CaptureFixture[str]) -> None:
+    late = gateway("g-2", serving=False, silent_s=1.25, configuration_behind=True, hosts=3)
+    told = state(gateways=[late, gateway("g-1")])
+    with controllers({"/status": told, "/config/get": CONFIGURATION}) as (address,):
+        assert main(["status", address]) == 0
+    assert capsys.readouterr().out.splitlines() == [
+        "view       7 (confirmed)",
+        "chain      127.0.0.1:7500 -> 127.0.0.2:7500",
+        "members    127.0.0.1:7500, 127.0.0.2:7500",
+        "generation 31",
+        "versions   configuration 4, hosts 7.2, roster 7.1",
+        "",
+        "gateway  address         serving  silent s  configuration  hosts     roster",
+        "g-1      127.0.0.9:7500  yes      0.2       newest         newest    newest",
+        "g-2      127.0.0.9:7500  no       1.2       behind         3 behind  newest",
+        "",
+        "role         owner",
+        "quota/t-1    g-1",
+        "retry/model  g-1",
+    ]
+
+
+def test_another_member_is_completed_by_the_tail(capsys: pytest.CaptureFixture[str]) -> None:
+    asked = state(is_tail=False, versions={"configuration": 4, "hosts": 0, "roster": 0})
+    tail = state(gateways=[gateway("g-1")])
+    with controllers({"/status": asked}, {"/status": tail}) as (address, other):
+        assert main(["status", address, "--json"]) == 0
+    shown = json.loads(capsys.readouterr().out)
+    assert shown["gateways"] == tail["gateways"]
+    assert shown["gateways_from"] == other
+    assert shown["versions"] == tail["versions"]
+    assert shown["is_tail"] is False
+    assert shown["owners"] == {}  # the configuration was not told
+
+
+def _lost(tail: str | None) -> Callable[[], dict[str, Any]]:
+    return lambda: state(is_tail=False, confirmed=False, generation=None, tail=tail)
+
+
+@pytest.mark.parametrize("make", [_lost(None), _lost("127.0.0.200:7500")], ids=["no tail", "dead tail"])
+def test_what_is_not_known_is_said(
+    capsys: pytest.CaptureFixture[str], make: Callable[[], dict[str, Any]]
+) -> None:
+    with controllers({"/status": make()}) as (address,):
+        assert main(["status", address]) == EXIT_UNAVAILABLE
+    out = capsys.readouterr().out
+    assert "NOT CONFIRMED" in out
+    assert "generation unknown" in out
+    assert "the chain's tail did not tell" in out
+
+
+@pytest.mark.parametrize("pages", [{}, {"/status": [1]}], ids=["503", "no object"])
+def test_a_controller_that_does_not_tell(capsys: pytest.CaptureFixture[str], pages: Pages) -> None:
+    with controllers(pages) as (address,):
+        assert main(["status", address]) == EXIT_UNAVAILABLE
+    out, err = capsys.readouterr()
+    assert out == ""
+    assert err.startswith(f"{address}/status: ")
+
+
+def test_an_address_without_a_listener(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["status", "127.0.0.1:1"]) == EXIT_UNAVAILABLE
+    assert "127.0.0.1:1/status: " in capsys.readouterr().err
+
+
+def test_owners_are_those_that_the_gateways_compute() -> None:
+    names = [f"g-{number}" for number in range(5)]
+    gateways = [gateway(name, serving=name != "g-0") for name in names]
+    roster = [Member(name, "elsewhere:1", 9) for name in names[1:]]
+    found = owners(CONFIGURATION, gateways)
+    assert set(found) == {"quota/t-1", "retry/model"}
+    for key, name in found.items():
+        owner = owner_of(key, roster)
+        assert owner is not None
+        assert owner.name == name
+    assert owners(CONFIGURATION, []) == {}
+
+
+def test_nothing_known_yet() -> None:
+    lines = render(state(epoch=0, chain=[], core=[], gateways_from="127.0.0.1:1", generation=None))
+    assert "chain      -" in lines
+    assert "gateways   none has pulled from the tail" in lines
--- a/tests/control/core_alone.py
+++ b/tests/control/core_alone.py
@@ -49,6 +49,9 @@
     def core_addresses(self) -> tuple[str, ...]:
         return tuple(f"{host}:{port}" for host, port in self.seeds)
 
+    def chain_addresses(self) -> tuple[str, ...]:
+        return self.core_addresses()
+
     def submit(self, order: ConfigurationOrder, done: Callable[[SubmitOutcome], None]) -> None:
         if order.digest in self.taken:
             done(TakenOrder(self.taken[order.digest]))
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -25,6 +25,9 @@
     def core_addresses(self) -> tuple[str, ...]:
         return self.cores
 
+    def chain_addresses(self) -> tuple[str, ...]:
+        return self.core_addresses()
+
     def submit(self, order: ConfigurationOrder, done: Callable[[SubmitOutcome], None]) -> None:
         self.orders.put_nowait((order, done))
 
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -341,7 +341,7 @@
         (await serving.node.reads.get())(Confirmation(3, 5, ORDER, 7))
         said = (await caller.receive()).json()
         assert (said["epoch"], said["tail"], said["is_tail"]) == (3, "10.0.0.3:7500", True)
-        assert said["core"] == list(serving.node.cores)
+        assert said["core"] == said["chain"] == list(serving.node.cores)
         assert said["versions"] == {"configuration": 5, "hosts": 11, "roster": 12}
         assert said["generation"] == 7
         (gateway,) = said["gateways"]
