--- a/roselink/control/node.py
+++ b/roselink/control/node.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import queue
 import secrets
 import threading
 from collections.abc import Callable
 from typing import Any
 
+import structlog
+
 from roselink.control.effects import (
     Confirmation,
     Effect,
@@ -26,10 +27,10 @@
 from roselink.control.messages import HANDLED
 from roselink.control.storage import Storage, record_number
 from roselink.model.settings import ProcessSettings
-from roselink.protocol.chain import ConfigurationOrder, StoredState, Votes
+from roselink.protocol.chain import ConfigurationOrder, StoredState, View, Votes
 from roselink.protocol.peers import Address, PeerPool, Reply
 
-log = logging.getLogger("roselink.control")
+log = structlog.get_logger("roselink.control")
 
 LEAVE_S = 1.0
 _LEAVE_STEP_S = 0.02
@@ -50,6 +51,7 @@
         self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
         self._member: Member | None = None
         self._running = False
+        self._logged_epoch = 0
         self._timer: asyncio.TimerHandle | None = None
         self._submits: dict[int, Callable[[SubmitOutcome], None]] = {}
         self._reads: dict[int, Callable[[Confirmation | None], None]] = {}
@@ -147,6 +149,11 @@
         view = self._member.view if self._member is not None else None
         return () if view is None else tuple(voter.address for voter in view.voters)
 
+    def chain_addresses(self) -> tuple[str, ...]:
+        """The peer addresses of the newest known view's chain, from head to tail."""
+        view = self._member.view if self._member is not None else None
+        return () if view is None else tuple(link.voter.address for link in view.chain)
+
     @property
     def disk_ok(self) -> bool:
         """Whether the disk took the last saves in time."""
@@ -169,9 +176,17 @@
                 if asked is not None:
                     asked(effect.confirmation)
             elif isinstance(effect, ViewChanged):
+                self._log_view(effect.view)
                 for watcher in self._watchers:
                     watcher()
 
+    def _log_view(self, view: View) -> None:
+        """Say so once a view, not again when its chain becomes active."""
+        if view.epoch != self._logged_epoch:
+            self._logged_epoch = view.epoch
+            chain = [link.voter.address for link in view.chain]
+            log.info("view_changed", epoch=view.epoch, chain=chain, voters=len(view.voters))
+
     def _tick(self) -> None:
         if self._member is None or not self._running:
             return
@@ -189,14 +204,14 @@
         try:
             self._loop.call_soon_threadsafe(step, *values)
         except RuntimeError:
-            log.info("the loop has ended before the disk")
+            log.info("disk_outlived_loop")
 
     def _load(self) -> None:
         """In the worker: read the disk; it is asked again until it answers."""
         try:
             loaded = self._storage.load()
         except OSError as error:
-            log.warning("disk: %s", error)
+            log.warning("disk_read_failed", error=str(error))
             self._hand_back(self._load_later)
             return
         self._hand_back(self._loaded, loaded)
@@ -229,7 +244,7 @@
             try:
                 self._storage.save(effect.store, record_number(effect.store), effect.payload)
             except OSError as error:
-                log.warning("disk: %s", error)
+                log.warning("disk_write_failed", error=str(error))
                 self._hand_back(self._saved, effect.store, False)
             else:
                 self._hand_back(self._saved, effect.store, True)
