Pulls: gateways get what changed in the list of hosts, encoded once for all

Cause: each reply carried the whole list, encoded for each gateway by itself.

Change: records 18 to 21 and 65 are new (ChangesPull, ChangesReply and what they hold); Pull and PullReply stay as they were, and are answered as before. The tail keeps what changed in its last 64 versions; more than half of the list, or an unknown version, goes as the whole list. A reply whose hosts can't be read counts as none. Gateways and core members have to be of this program's version: one that is older closes the connection on a record it doesn't know.

Ruled out: only a shared encoding, which leaves bytes and decoding as they were.

--- a/experiments/pulls.py
+++ b/experiments/pulls.py
@@ -11,17 +11,18 @@
 from dataclasses import dataclass, replace
 
 from experiments.measure import heap_bytes, machine, processor_us, show, show_line
-from experiments.shapes import make_configuration, make_cores, make_hosts, make_member, make_roster
+from experiments.shapes import make_configuration, make_cores, make_hosts, make_member, make_roster, replaced
 from roselink.control.contract import Confirmation
-from roselink.control.pulls import Answer, PullDesk
+from roselink.control.pulls import Answer, AnswerChanges, PullDesk
 from roselink.control.views import MAX_VOTERS
 from roselink.dataplane.topology import HostDirectory
 from roselink.dataplane.upstream import FleetUpstream
+from roselink.distribution.host_changes import completed
 from roselink.distribution.pull import PULL_EVERY_S, PullMachine, SendPull
 from roselink.gateway.config import Descriptors
 from roselink.model.fleet import Host, Member, Snapshot, VersionVector
 from roselink.protocol.peers import FrameReader, frame
-from roselink.protocol.pull import Pull, PullReply
+from roselink.protocol.pull import ChangesReply, Pull, PullReply
 
 HOSTS = (60, 600, 3_000, 12_000)
 GATEWAYS = (6, 60, 175, 350)
@@ -67,6 +68,18 @@
     memory: int
 
 
+@dataclass(frozen=True, slots=True)
+class HostDifference:
+    """One host of a list replaced, sent as what changed: at the tail for one gateway after the first, and at
+    a gateway up to its new list. `list_again_us`: the tail's whole list for one gateway after the first."""
+
+    hosts: int
+    tail_us: float
+    gateway_us: float
+    reply_bytes: int
+    list_again_us: float
+
+
 def quiet_pull(cores: int, pulls: int) -> QuietPull:
     """One gateway against a core that has nothing new."""
     machine_ = PullMachine(make_member(1), [("10.2.0.1", 7500)], random.Random(1))
@@ -147,6 +160,41 @@
     )
 
 
+def host_difference(count: int, times: int) -> HostDifference:
+    """A list of so many hosts, of which one is replaced."""
+    hosts, members = make_hosts(count), make_roster(1)
+    desk = PullDesk()
+    desk.view_changed(0.0, EPOCH, True, None, make_cores(MAX_VOTERS))
+    desk.hosts_listed(0.0, EPOCH, hosts)
+    held = VersionVector(1, desk.versions.hosts, 0)
+    desk.hosts_listed(0.0, EPOCH, replaced(hosts, 0, 1))
+    confirmation = Confirmation(EPOCH, 1, b"", 1)
+
+    def answer(vector: VersionVector) -> bytes:
+        desk.pull(0.0, 1, Pull(members[0], vector, True), changes=True)
+        for effect in desk.confirmed(0.0, 1, confirmation):
+            if isinstance(effect, AnswerChanges):
+                return frame(ANSWER, 1, effect.reply)
+        raise RuntimeError("no answer")
+
+    data = answer(held)
+    reply: ChangesReply = FrameReader().feed(data)[0][2]
+    if reply.host_changes is None:
+        raise RuntimeError("the whole list came")
+
+    def take() -> None:
+        FrameReader().feed(data)
+        completed(reply, held.hosts, hosts)
+
+    return HostDifference(
+        count,
+        processor_us(lambda: answer(held), times),
+        processor_us(take, times),
+        len(data),
+        processor_us(lambda: answer(VersionVector()), times),
+    )
+
+
 class _Directory:
     """The data plane's list of hosts, taken over again and again."""
 
@@ -211,6 +259,16 @@
     show_line("taken by the data plane", "us", "host", [(h.hosts, h.directory_us) for h in lists])
     show_line("reply", "bytes", "host", [(h.hosts, h.reply_bytes) for h in lists])
     show_line("list and directory", "bytes", "host", [(h.hosts, h.memory) for h in lists])
+    ones = [host_difference(count, changes) for count in sizes]
+    columns = ("hosts", "tail us", "gateway us", "reply bytes", "whole list again us")
+    show(
+        "One host replaced, sent as what changed",
+        columns,
+        [(o.hosts, o.tail_us, o.gateway_us, o.reply_bytes, o.list_again_us) for o in ones],
+    )
+    show_line("difference at the tail", "us", "host", [(o.hosts, o.tail_us) for o in ones])
+    show_line("difference at a gateway", "us", "host", [(o.hosts, o.gateway_us) for o in ones])
+    show_line("whole list again", "us", "host", [(o.hosts, o.list_again_us) for o in ones])
 
 
 if __name__ == "__main__":
--- a/roselink/control/pull_service.py
+++ b/roselink/control/pull_service.py
@@ -10,8 +10,10 @@
 from roselink.control.contract import Address, Confirmation, ControlNode
 from roselink.control.pulls import (
     Answer,
+    AnswerChanges,
     Confirm,
     Forward,
+    ForwardedChangesPull,
     ForwardedPull,
     GatewayLag,
     PullDesk,
@@ -19,7 +21,7 @@
     PullTimes,
 )
 from roselink.model.fleet import Host, VersionVector
-from roselink.protocol.pull import Pull, PullReply
+from roselink.protocol.pull import ChangesPull, ChangesReply, Pull, PullReply
 
 FORWARD_TIMEOUT_S = 0.4
 
@@ -66,6 +68,10 @@
             self._take(message, reply, forwarded=False)
         elif isinstance(message, ForwardedPull):
             self._take(message.pull, reply, forwarded=True)
+        elif isinstance(message, ChangesPull):
+            self._take(message.pull, reply, forwarded=False, changes=True)
+        elif isinstance(message, ForwardedChangesPull):
+            self._take(message.pull, reply, forwarded=True, changes=True)
         else:
             return False
         return True
@@ -83,11 +89,11 @@
         """The gateways heard by the tail, for people."""
         return self._desk.lags(self._clock())
 
-    def _take(self, pull: Pull, reply: Reply, forwarded: bool) -> None:
+    def _take(self, pull: Pull, reply: Reply, forwarded: bool, changes: bool = False) -> None:
         number = next(self._numbers)
         self._replies[number] = reply
         self._desk.cores_changed(self._node.core_addresses())
-        self._apply(self._desk.pull(self._clock(), number, pull, forwarded))
+        self._apply(self._desk.pull(self._clock(), number, pull, forwarded, changes))
 
     def _apply(self, effects: list[PullEffect]) -> None:
         for effect in effects:
@@ -98,6 +104,8 @@
                     self._pool.call(tail, message, FORWARD_TIMEOUT_S, self._when_forwarded(number))
                 case Answer(number, answer):
                     self._replies.pop(number)(answer)
+                case AnswerChanges(number, changes):
+                    self._replies.pop(number)(changes)
 
     def _when_confirmed(self, number: int) -> Callable[[Confirmation | None], None]:
         def done(confirmation: Confirmation | None) -> None:
@@ -107,7 +115,7 @@
 
     def _when_forwarded(self, number: int) -> Callable[[Any], None]:
         def done(answer: Any) -> None:
-            reply = answer if isinstance(answer, PullReply) else None
+            reply = answer if isinstance(answer, PullReply | ChangesReply) else None
             self._apply(self._desk.forwarded(self._clock(), number, reply))
 
         return done
--- a/roselink/control/pulls.py
+++ b/roselink/control/pulls.py
@@ -13,8 +13,9 @@
 from dataclasses import dataclass, field
 
 from roselink.control.contract import Address, Confirmation
+from roselink.control.host_versions import HostVersions
 from roselink.model.fleet import Host, Member, VersionVector
-from roselink.protocol.pull import Pull, PullReply
+from roselink.protocol.pull import ChangesReply, Pull, PullReply
 from roselink.protocol.records import record
 
 EPOCH_SHIFT = 32
@@ -29,6 +30,14 @@
     pull: Pull
 
 
+@record(65)
+@dataclass(frozen=True, slots=True)
+class ForwardedChangesPull:
+    """The same for a `ChangesPull`."""
+
+    pull: Pull
+
+
 @dataclass(frozen=True, slots=True)
 class PullTimes:
     """Bounds of the service, in seconds.
@@ -56,7 +65,7 @@
 
     number: int
     tail: Address
-    message: ForwardedPull
+    message: ForwardedPull | ForwardedChangesPull
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +76,24 @@
     reply: PullReply
 
 
-PullEffect = Confirm | Forward | Answer
+@dataclass(frozen=True, slots=True)
+class AnswerChanges:
+    """The reply to the `ChangesPull` that came with this number."""
+
+    number: int
+    reply: ChangesReply
+
+
+AnyReply = PullReply | ChangesReply
+PullEffect = Confirm | Forward | Answer | AnswerChanges
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A pull without its answer. `changes`: it came as a `ChangesPull`."""
+
+    pull: Pull
+    changes: bool
 
 
 @dataclass(slots=True)
@@ -103,20 +129,18 @@
         self._is_tail = False
         self._tail: Address | None = None
         self._cores: tuple[str, ...] = ()
-        self._waiting: dict[int, Pull] = {}
+        self._waiting: dict[int, _Waiting] = {}
         self._gateways: dict[str, _Gateway] = {}
         self._collect_until = 0.0
         self._last_input = 0.0
         self._roster: tuple[Member, ...] | None = None
         self._roster_version = 0
-        self._hosts: tuple[Host, ...] | None = None
-        self._hosts_identity: tuple[object, ...] = ()
-        self._hosts_version = 0
+        self._hosts = HostVersions()
 
     @property
     def versions(self) -> VersionVector:
         """The versions that this member has published in its view; the configuration's is the chain's."""
-        return VersionVector(0, self._hosts_version, self._roster_version)
+        return VersionVector(0, self._hosts.version, self._roster_version)
 
     def view_changed(
         self, now: float, epoch: int, is_tail: bool, tail: Address | None, cores: tuple[str, ...]
@@ -127,7 +151,7 @@
         if epoch == self._epoch and is_tail == self._is_tail:
             return []
         self._epoch, self._is_tail = epoch, is_tail
-        self._hosts, self._hosts_identity, self._hosts_version = None, (), 0
+        self._hosts = HostVersions()
         self._roster, self._roster_version = None, 0
         self._collect_until = now + self._times.collect_s
         if not is_tail:
@@ -138,46 +162,52 @@
         """The members of the core are others, in the same view."""
         self._cores = cores
 
-    def pull(self, now: float, number: int, pull: Pull, forwarded: bool = False) -> list[PullEffect]:
-        """A pull came, straight from a gateway or `forwarded` by another member."""
+    def pull(
+        self, now: float, number: int, pull: Pull, forwarded: bool = False, changes: bool = False
+    ) -> list[PullEffect]:
+        """A pull came, from a gateway or `forwarded` by another member; `changes`: as a `ChangesPull`."""
         self._note(now)
         if self._is_tail:
             self._heard(now, pull)
-            self._waiting[number] = pull
+            self._waiting[number] = _Waiting(pull, changes)
             return [Confirm(number)]
         if forwarded or self._tail is None:
-            return [Answer(number, self._unconfirmed())]
-        self._waiting[number] = pull
-        return [Forward(number, self._tail, ForwardedPull(pull))]
+            return [self._unconfirmed(number, changes)]
+        self._waiting[number] = _Waiting(pull, changes)
+        message = ForwardedChangesPull(pull) if changes else ForwardedPull(pull)
+        return [Forward(number, self._tail, message)]
 
-    def forwarded(self, now: float, number: int, reply: PullReply | None) -> list[PullEffect]:
+    def forwarded(self, now: float, number: int, reply: PullReply | ChangesReply | None) -> list[PullEffect]:
         """The tail's reply to a pull that was sent on, or None."""
         self._note(now)
-        if self._waiting.pop(number, None) is None:
+        waiting = self._waiting.pop(number, None)
+        if waiting is None:
             return []
-        return [Answer(number, reply if reply is not None else self._unconfirmed())]
+        if waiting.changes and isinstance(reply, ChangesReply):
+            return [AnswerChanges(number, reply)]
+        if not waiting.changes and isinstance(reply, PullReply):
+            return [Answer(number, reply)]
+        return [self._unconfirmed(number, waiting.changes)]
 
     def confirmed(self, now: float, number: int, confirmation: Confirmation | None) -> list[PullEffect]:
         """The end of a confirmed read."""
         self._note(now)
-        pull = self._waiting.pop(number, None)
-        if pull is None:
+        waiting = self._waiting.pop(number, None)
+        if waiting is None:
             return []
         if confirmation is None or not self._is_tail or confirmation.epoch != self._epoch:
-            return [Answer(number, self._unconfirmed())]
+            return [self._unconfirmed(number, waiting.changes)]
         self._publish_roster(now)
-        return [Answer(number, self._reply(pull.vector, confirmation))]
+        if waiting.changes:
+            return [AnswerChanges(number, self._changes_reply(waiting.pull.vector, confirmation))]
+        return [Answer(number, self._reply(waiting.pull.vector, confirmation))]
 
     def hosts_listed(self, now: float, epoch: int, hosts: tuple[Host, ...]) -> list[PullEffect]:
         """A whole list of hosts, read from its first page on in view `epoch`."""
         self._note(now)
         if not self._is_tail or epoch != self._epoch:
             return []
-        ordered = tuple(sorted(hosts, key=lambda host: host.id))
-        identity = tuple(_host_identity(host) for host in ordered)
-        if self._hosts is None or identity != self._hosts_identity:
-            self._hosts, self._hosts_identity = ordered, identity
-            self._hosts_version = self._next_version(self._hosts_version)
+        self._hosts.publish(hosts, self._next_version)
         return []
 
     def lags(self, now: float) -> tuple[GatewayLag, ...]:
@@ -189,7 +219,7 @@
                 gateway.serving,
                 round(now - gateway.heard_at, 3),
                 gateway.vector.configuration,
-                max(0, self._hosts_version - gateway.vector.hosts),
+                max(0, self._hosts.version - gateway.vector.hosts),
                 max(0, self._roster_version - gateway.vector.roster),
             )
             for gateway in sorted(self._gateways.values(), key=lambda gateway: gateway.member.name)
@@ -233,30 +263,37 @@
         return max(version, self._epoch << EPOCH_SHIFT) + 1
 
     def _reply(self, held: VersionVector, confirmation: Confirmation) -> PullReply:
-        sequence = confirmation.sequence
         return PullReply(
             confirmed=True,
-            vector=VersionVector(sequence, self._hosts_version, self._roster_version),
-            configuration=confirmation.document if sequence != held.configuration else None,
-            hosts=self._hosts if self._hosts_version > held.hosts else None,
+            vector=self._vector(confirmation),
+            configuration=_missed(held, confirmation),
+            hosts=self._hosts.hosts if self._hosts.version > held.hosts else None,
+            roster=self._roster if self._roster_version > held.roster else None,
+            cores=self._cores,
+        )
+
+    def _changes_reply(self, held: VersionVector, confirmation: Confirmation) -> ChangesReply:
+        newer = self._hosts.version > held.hosts
+        changes = self._hosts.since(held.hosts) if newer else None
+        return ChangesReply(
+            confirmed=True,
+            vector=self._vector(confirmation),
+            configuration=_missed(held, confirmation),
+            host_list=self._hosts.whole() if newer and changes is None else None,
+            host_changes=changes,
             roster=self._roster if self._roster_version > held.roster else None,
             cores=self._cores,
         )
 
-    def _unconfirmed(self) -> PullReply:
-        return PullReply(False, VersionVector(), None, None, None, self._cores)
-
-
-def _host_identity(host: Host) -> tuple[object, ...]:
-    """What makes a host another one to a gateway: all but how much of its warm-up is left."""
-    return (
-        host.id,
-        host.service,
-        host.address,
-        host.zone,
-        host.generation,
-        host.capacity,
-        host.state,
-        host.warmup_left_ms > 0,
-        host.models,
-    )
+    def _vector(self, confirmation: Confirmation) -> VersionVector:
+        return VersionVector(confirmation.sequence, self._hosts.version, self._roster_version)
+
+    def _unconfirmed(self, number: int, changes: bool) -> PullEffect:
+        if changes:
+            nothing = ChangesReply(False, VersionVector(), None, None, None, None, self._cores)
+            return AnswerChanges(number, nothing)
+        return Answer(number, PullReply(False, VersionVector(), None, None, None, self._cores))
+
+
+def _missed(held: VersionVector, confirmation: Confirmation) -> bytes | None:
+    return confirmation.document if confirmation.sequence != held.configuration else None
--- a/roselink/distribution/pull.py
+++ b/roselink/distribution/pull.py
@@ -13,9 +13,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from roselink.distribution.host_changes import completed
 from roselink.model.configuration import Configuration, Limits
 from roselink.model.fleet import Member, Snapshot, VersionVector
-from roselink.protocol.pull import Pull, PullReply
+from roselink.protocol.pull import ChangesReply, Pull, PullReply
 
 Address = tuple[str, int]
 
@@ -118,12 +119,14 @@
         """Something newer exists: pull soon."""
         self.due_at = min(self.due_at, now + SOONEST_AGAIN_S)
 
-    def answered(self, call: int, reply: PullReply | None, now: float) -> list[Effect]:
-        """The outcome of a call: the reply, or None."""
+    def answered(self, call: int, reply: PullReply | ChangesReply | None, now: float) -> list[Effect]:
+        """The outcome of a call: the reply, or None. A reply whose hosts can't be read counts as none."""
         if self._open is None or self._open[0] != call:
             return []
         sent_at = self._open[1]
         self._open = None
+        if isinstance(reply, ChangesReply):
+            reply = completed(reply, self._vector.hosts, self._parts.hosts)
         if reply is None or not reply.confirmed:
             self._failed(now)
             return []
--- a/roselink/distribution/puller.py
+++ b/roselink/distribution/puller.py
@@ -14,7 +14,7 @@
 from roselink.model.fleet import Member, Snapshot
 from roselink.model.settings import ProcessSettings, SettingsError, load_settings
 from roselink.protocol.peers import PeerPool
-from roselink.protocol.pull import PullReply
+from roselink.protocol.pull import ChangesPull, ChangesReply, PullReply
 
 log = logging.getLogger("roselink.distribution")
 
@@ -126,14 +126,14 @@
 
     def _answered(self, call: int, answer: object) -> None:
         if not self._stopped:
-            reply = answer if isinstance(answer, PullReply) else None
+            reply = answer if isinstance(answer, PullReply | ChangesReply) else None
             self._perform(self._machine.answered(call, reply, self._clock()))
 
     def _perform(self, effects: list[Effect]) -> None:
         for effect in effects:
             match effect:
                 case SendPull(call, address, pull, timeout_s):
-                    self._pool.call(address, pull, timeout_s, partial(self._answered, call))
+                    self._pool.call(address, ChangesPull(pull), timeout_s, partial(self._answered, call))
                 case Apply(snapshot):
                     self._tell(snapshot)
                 case Confirmed(at):
--- a/roselink/protocol/pull.py
+++ b/roselink/protocol/pull.py
@@ -40,3 +40,45 @@
     hosts: tuple[Host, ...] | None
     roster: tuple[Member, ...] | None
     cores: tuple[str, ...]
+
+
+@record(18)
+@dataclass(frozen=True, slots=True)
+class HostList:
+    """A whole list of hosts, by id. A `ChangesReply` holds it encoded, so that this is done once for all."""
+
+    hosts: tuple[Host, ...]
+
+
+@record(19)
+@dataclass(frozen=True, slots=True)
+class HostChanges:
+    """What leads from the list of version `base` to another: hosts that are gone, and then those that are new
+    or otherwise different. How much of a warm-up is left is no difference."""
+
+    base: int
+    gone: tuple[str, ...]
+    put: tuple[Host, ...]
+
+
+@record(20)
+@dataclass(frozen=True, slots=True)
+class ChangesPull:
+    """A `Pull` that is answered by a `ChangesReply`."""
+
+    pull: Pull
+
+
+@record(21)
+@dataclass(frozen=True, slots=True)
+class ChangesReply:
+    """As `PullReply`, but hosts come as an encoded `HostList`, or as encoded `HostChanges` from the version
+    that the pull named; both are None when it is the newest."""
+
+    confirmed: bool
+    vector: VersionVector
+    configuration: bytes | None
+    host_list: bytes | None
+    host_changes: bytes | None
+    roster: tuple[Member, ...] | None
+    cores: tuple[str, ...]
--- a/tests/control/test_pulls.py
+++ b/tests/control/test_pulls.py
@@ -11,15 +11,17 @@
 from roselink.control.pulls import (
     EPOCH_SHIFT,
     Answer,
+    AnswerChanges,
     Confirm,
     Forward,
+    ForwardedChangesPull,
     ForwardedPull,
     PullDesk,
     PullEffect,
     PullTimes,
 )
 from roselink.model.fleet import Host, HostState, Member, VersionVector
-from roselink.protocol.pull import Pull, PullReply
+from roselink.protocol.pull import ChangesPull, ChangesReply, Pull, PullReply
 from roselink.protocol.records import decode, encode, number_of
 from tests.control.fakes import FakeNode
 
@@ -111,6 +113,53 @@
     assert desk.pull(0.1, 1, pull(), forwarded) == [effect]
 
 
+NOTHING = ChangesReply(False, VersionVector(), None, None, None, None, CORES)
+
+
+@pytest.mark.parametrize(
+    ("is_tail", "tail", "forwarded", "effect"),
+    [
+        (True, TAIL, False, Confirm(1)),
+        (True, TAIL, True, Confirm(1)),
+        (False, TAIL, False, Forward(1, TAIL, ForwardedChangesPull(pull()))),
+        (False, TAIL, True, AnswerChanges(1, NOTHING)),
+        (False, None, False, AnswerChanges(1, NOTHING)),
+        (False, None, True, AnswerChanges(1, NOTHING)),
+    ],
+)
+def test_who_answers_a_pull_of_changes(is_tail: bool, tail: Any, forwarded: bool, effect: PullEffect) -> None:
+    desk = PullDesk(TIMES)
+    desk.view_changed(0.0, EPOCH, is_tail, tail, CORES)
+    assert desk.pull(0.1, 1, pull(), forwarded, changes=True) == [effect]
+
+
+def test_without_a_confirmation_a_pull_of_changes_brings_nothing() -> None:
+    desk = PullDesk(TIMES)
+    desk.view_changed(0.0, EPOCH, True, TAIL, CORES)
+    desk.hosts_listed(0.1, EPOCH, (host("h"),))
+    desk.pull(0.2, 1, pull(), changes=True)
+    assert desk.confirmed(0.3, 1, None) == [AnswerChanges(1, NOTHING)]
+
+
+TOLD = ChangesReply(True, VersionVector(5, 6, 7), b"{}", b"list", None, (), CORES)
+
+
+@pytest.mark.parametrize(
+    ("changes", "answer", "effect"),
+    [
+        (True, TOLD, AnswerChanges(1, TOLD)),
+        (True, None, AnswerChanges(1, NOTHING)),
+        (True, PullReply(True, VersionVector(), None, None, None, ()), AnswerChanges(1, NOTHING)),
+        (False, TOLD, Answer(1, UNCONFIRMED)),
+    ],
+)
+def test_the_tail_answers_in_kind(changes: bool, answer: Any, effect: PullEffect) -> None:
+    desk = PullDesk(TIMES)
+    desk.view_changed(0.0, EPOCH, False, TAIL, CORES)
+    desk.pull(0.1, 1, pull(), changes=changes)
+    assert desk.forwarded(0.2, 1, answer) == [effect]
+
+
 def test_a_member_without_a_view_confirms_nothing() -> None:
     assert PullDesk(TIMES).pull(0.1, 1, pull()) == [
         Answer(1, PullReply(False, VersionVector(), None, None, None, ()))
@@ -352,3 +401,20 @@
 def test_driver_leaves_other_records_alone() -> None:
     made, _ = service(FakeNode())
     assert not made.handle(("10.1.0.1", 4000), RELAYED, lambda answer: None)
+
+
+def test_driver_of_changes_at_the_tail_and_at_another_member() -> None:
+    node = FakeNode()
+    made, pool = service(node)
+    replies: list[Any] = []
+    assert made.handle(("10.1.0.1", 4000), ChangesPull(pull()), replies.append)
+    node.reads.get_nowait()(confirmation())
+    assert made.handle(("10.0.0.1", 4000), ForwardedChangesPull(pull()), replies.append)
+    node.reads.get_nowait()(confirmation())
+    assert [(type(reply), reply.confirmed) for reply in replies] == [(ChangesReply, True)] * 2
+    node.change_view(4, False, ("10.0.0.2", 7500))
+    made.handle(("10.1.0.1", 4000), ChangesPull(pull()), replies.append)
+    ((address, message, _, done),) = pool.calls
+    assert (address, message) == (("10.0.0.2", 7500), ForwardedChangesPull(pull()))
+    done(TOLD)
+    assert replies[-1] == TOLD
--- /dev/null
+++ b/tests/distribution/test_host_changes.py
@@ -0,0 +1,190 @@
+"""Lists of hosts out of whole lists and changes, alone and between a tail's desk and a gateway's machine."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from roselink.control.contract import Confirmation
+from roselink.control.pulls import AnswerChanges, Confirm, PullDesk
+from roselink.distribution.host_changes import completed
+from roselink.distribution.pull import Apply, Confirmed, Effect, PullMachine, SendPull
+from roselink.model.fleet import Host, HostState, Member, VersionVector
+from roselink.protocol.peers import FrameReader, frame
+from roselink.protocol.pull import ChangesPull, ChangesReply, HostChanges, HostList, PullReply
+from roselink.protocol.records import encode
+
+VECTOR = VersionVector(1, 9, 1)
+CORES = ("10.2.0.1:7500",)
+DOCUMENT = b'{"generation":1}'
+MEMBER = Member("edge-1", "10.1.0.1:7500", 1)
+EPOCH = 3
+
+
+def host(name: str, state: HostState = HostState.READY, warmup_left_ms: float = 0.0) -> Host:
+    return Host(name, "s", "10.0.0.1:8000", "z", "v1", 64, state, warmup_left_ms, ())
+
+
+A, B, C = host("a"), host("b"), host("c")
+DRAINING = host("b", HostState.DRAINING)
+
+
+def reply(host_list: bytes | None = None, host_changes: bytes | None = None) -> ChangesReply:
+    return ChangesReply(True, VECTOR, None, host_list, host_changes, None, CORES)
+
+
+def change(base: int, gone: tuple[str, ...] = (), put: tuple[Host, ...] = ()) -> bytes:
+    return encode(HostChanges(base, gone, put))
+
+
+@pytest.mark.parametrize(
+    ("told", "hosts"),
+    [
+        (reply(), None),
+        (reply(encode(HostList((A, C)))), (A, C)),
+        (reply(encode(HostList(()))), ()),
+        (reply(None, change(5, ("a",))), (B,)),
+        (reply(None, change(5, (), (C,))), (A, B, C)),
+        (reply(None, change(5, (), (DRAINING,))), (A, DRAINING)),
+        (reply(None, change(5, ("a", "b"), (C,))), (C,)),
+        (reply(None, change(5, ("unknown",))), (A, B)),
+        (reply(encode(HostList((C,))), change(5, ("a",))), (C,)),
+    ],
+)
+def test_the_list_after_a_reply(told: ChangesReply, hosts: tuple[Host, ...] | None) -> None:
+    assert completed(told, 5, (B, A)) == PullReply(True, VECTOR, None, hosts, None, CORES)
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        reply(None, change(4, ("a",))),
+        reply(None, change(6, ("a",))),
+        reply(None, change(5, ("a",))[:-1]),
+        reply(None, b""),
+        reply(encode(HostList((A,)))[:-3]),
+        reply(b"\xff" * 9),
+    ],
+)
+def test_a_reply_whose_hosts_are_of_no_use_is_none(told: ChangesReply) -> None:
+    assert completed(told, 5, (A, B)) is None
+
+
+class Pair:
+    """A gateway's machine and the desk of a tail; messages go through their frames."""
+
+    def __init__(self) -> None:
+        self.machine = PullMachine(MEMBER, [("10.2.0.1", 7500)], random.Random(1))
+        self.desk = PullDesk()
+        self.now, self.epoch = 10.0, EPOCH
+        self.lists = self.changes = 0
+        self.view(EPOCH)
+
+    def view(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.desk.view_changed(self.now, epoch, True, None, CORES)
+
+    def listed(self, *hosts: Host) -> None:
+        self.desk.hosts_listed(self.now, self.epoch, hosts)
+
+    def pull(self, lost: bool = False) -> list[Effect]:
+        """One pull and its answer, or None in its place."""
+        self.now = max(self.now + 0.1, self.machine.due_at)
+        (send,) = self.machine.wake(self.now)
+        assert isinstance(send, SendPull)
+        answer = self.answer(ChangesPull(send.pull))
+        return self.machine.answered(send.call, None if lost else answer, self.now)
+
+    def answer(self, asked: ChangesPull) -> ChangesReply:
+        ((_, number, received),) = FrameReader().feed(frame(0, 1, asked))
+        assert self.desk.pull(self.now, number, received.pull, changes=True) == [Confirm(1)]
+        (effect,) = self.desk.confirmed(self.now, number, Confirmation(self.epoch, 1, DOCUMENT, 1))
+        assert isinstance(effect, AnswerChanges)
+        self.lists += effect.reply.host_list is not None
+        self.changes += effect.reply.host_changes is not None
+        ((_, _, answer),) = FrameReader().feed(frame(1, 1, effect.reply))
+        assert isinstance(answer, ChangesReply)
+        return answer
+
+    @property
+    def held(self) -> tuple[Host, ...]:
+        assert self.machine.snapshot is not None
+        return self.machine.snapshot.hosts
+
+
+def test_a_gateway_gets_the_list_once_and_then_changes() -> None:
+    pair = Pair()
+    pair.listed(A, B, C, host("d"))
+    pair.pull()
+    assert (pair.held, pair.lists, pair.changes) == ((A, B, C, host("d")), 1, 0)
+    assert [type(effect) for effect in pair.pull()] == [Confirmed]
+    pair.listed(A, DRAINING, host("d"), host("e"))
+    assert [type(effect) for effect in pair.pull()] == [Apply, Confirmed]
+    assert (pair.held, pair.lists) == ((A, DRAINING, host("d"), host("e")), 2)  # most of it was new
+    pair.listed(A, host("d"), host("e"))
+    pair.pull()
+    assert (pair.held, pair.lists, pair.changes) == ((A, host("d"), host("e")), 2, 1)
+
+
+def test_the_tail_of_another_view_sends_its_whole_list() -> None:
+    pair = Pair()
+    pair.listed(A, B)
+    pair.pull()
+    pair.view(EPOCH + 1)
+    pair.pull()
+    assert pair.held == (A, B)
+    pair.listed(A, B)
+    pair.pull()
+    assert (pair.held, pair.lists, pair.changes) == ((A, B), 2, 0)
+    assert pair.machine.snapshot is not None
+    assert pair.machine.snapshot.vector.hosts == pair.desk.versions.hosts
+
+
+def test_a_reply_that_cannot_be_read_moves_nothing_and_the_next_one_does() -> None:
+    pair = Pair()
+    pair.listed(A, B, C)
+    pair.pull()
+    before = pair.held
+    pair.listed(A, B)
+    pair.now = max(pair.now + 0.1, pair.machine.due_at)
+    (send,) = pair.machine.wake(pair.now)
+    assert isinstance(send, SendPull)
+    torn = replace(pair.answer(ChangesPull(send.pull)), host_changes=b"?")
+    assert pair.machine.answered(send.call, torn, pair.now) == []
+    assert pair.held is before
+    pair.pull()
+    assert pair.held == (A, B)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_whatever_changes_and_whatever_is_lost_the_lists_agree(seed: int) -> None:
+    chance = random.Random(seed)
+    pair = Pair()
+    listed = {f"h{number}": host(f"h{number}") for number in range(chance.randrange(30))}
+    for step in range(150):
+        for _ in range(chance.choice((0, 0, 1, 1, 3, 30))):
+            name = f"h{chance.randrange(40)}"
+            if chance.random() < 0.4:
+                listed.pop(name, None)
+            else:
+                state = chance.choice((HostState.READY, HostState.DRAINING))
+                listed[name] = host(name, state, chance.choice((0.0, 1000.0 - step)))
+        if chance.random() < 0.05:
+            pair.view(pair.epoch + 1)
+        shuffled = list(listed.values())
+        chance.shuffle(shuffled)
+        pair.listed(*shuffled)
+        if chance.random() < 0.5:
+            pair.pull(lost=chance.random() < 0.3)
+    pair.pull()
+    pair.pull()
+    assert [_plain(entry) for entry in pair.held] == [_plain(listed[name]) for name in sorted(listed)]
+    assert pair.lists
+    assert pair.changes
+
+
+def _plain(entry: Host) -> Host:
+    """A host with what is left of its warm-up as yes or no, which is all that counts as a change."""
+    return replace(entry, warmup_left_ms=float(entry.warmup_left_ms > 0))
