--- a/roselink/control/peering.py
+++ b/roselink/control/peering.py
@@ -14,7 +14,7 @@
 
 SILENT_S = 0.45  # a machine that said nothing for so long is suspected
 STEADY_S = 0.3  # a machine that has been live and well for so long may join a chain
-FORGET_S = 10.0  # a machine outside the view that said nothing for so long is no contact any more
+FORGET_S = 10.0  # a machine that said nothing for so long is not known any more
 START_GRACE_S = 1.5  # after the start of a whole new system, machines may be slow to come up
 DISK_STUCK_S = 0.3  # a save that takes longer makes the disk unfit
 DISK_WELL_S = 0.2  # a save that takes no longer makes it fit again
@@ -39,10 +39,10 @@
         """Count no machine as silent for a while: none may be up yet."""
         self._grace_until = now + START_GRACE_S
 
-    def skip(self, seconds: float) -> None:
+    def skip(self, seconds: float, now: float) -> None:
         """This process did not run for so long: silence in that time says nothing about others."""
         for known in self._known.values():
-            known.heard_at += seconds
+            known.heard_at = min(now, known.heard_at + seconds)
 
     def hear(self, heartbeat: Heartbeat, now: float) -> None:
         """Take a heartbeat."""
@@ -50,6 +50,8 @@
         known = self._known.get(address)
         if known is None or known.heartbeat.session != heartbeat.session:
             known = self._known[address] = _Known(heartbeat, now)
+        if now - known.heard_at >= SILENT_S:
+            known.well_since = None
         known.heartbeat, known.heard_at = heartbeat, now
         well = self._live(known, now) and heartbeat.disk_ok and not heartbeat.leaving
         if not well:
@@ -74,6 +76,8 @@
 
     def picture(self, now: float, own: Peer, expected: Iterable[str]) -> dict[str, Peer]:
         """Every known machine as a plan needs it. `expected`: those that get the grace of a new system."""
+        for address in [a for a, known in self._known.items() if now - known.heard_at >= FORGET_S]:
+            del self._known[address]
         live = [known for known in self._known.values() if self._live(known, now)]
         elsewhere = {address for known in live for address in known.heartbeat.heard}
         pictured = {own.voter.address: own}
@@ -147,6 +151,6 @@
         """Whether no save is under way."""
         return not self._began
 
-    def skip(self, seconds: float) -> None:
+    def skip(self, seconds: float, now: float) -> None:
         """This process did not run for so long."""
-        self._began = [at + seconds for at in self._began]
+        self._began = [min(now, at + seconds) for at in self._began]
