Quotas: a gateway looks only at the tenants that are due

Cause: after each input the client asked every tenant when it is due, and each wake-up went through all.

Change: due times in a heap, noted after each change to a tenant. Where use and what was given back cancel out, the tenant is due when the oldest of it leaves the window, so no time is later than a look at all tenants would say (tests/membership/test_due_quotas.py).

--- a/experiments/asks.py
+++ b/experiments/asks.py
@@ -98,7 +98,7 @@
         arrival = self.now + self._chance.expovariate(rate_per_s)
         while True:
             answer_at = self._answers[0][0] if self._answers else float("inf")
-            at = min(arrival, answer_at, self.client.due_at(self.now))
+            at = min(arrival, answer_at, self.client.due_at())
             if at >= until:
                 self.now = until
                 return
--- a/roselink/membership/budget_service.py
+++ b/roselink/membership/budget_service.py
@@ -200,7 +200,7 @@
 
     def _schedule(self) -> None:
         now = self._clock()
-        due = self._quota_client.due_at(now)
+        due = self._quota_client.due_at()
         if self._timer is not None:
             if due >= self._timer_at:
                 return
--- a/roselink/membership/quota_client.py
+++ b/roselink/membership/quota_client.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from roselink.membership.due_times import NEVER, DueTimes
 from roselink.membership.repeats import RefreshRoster
 from roselink.membership.roles import Roles
 from roselink.membership.usage import LOCAL_PART, NEWCOMER_PART, Limit, QuotaRule, Usage
@@ -111,6 +112,7 @@
         self.leaving = False
         self._roles, self._rule = roles, rule
         self._tenants: dict[str, _Tenant] = {}
+        self._due_times = DueTimes()
         self._calls: dict[int, str] = {}
         self._last_call = 0
 
@@ -123,6 +125,7 @@
                 self._tenants[name].limit = limit
                 continue
             gone = self._tenants.pop(name)
+            self._due_times.put(name, NEVER)
             asked = gone.open.asked if gone.open is not None else []
             effects += [QuotaDecided(entry.number, True, 0.0) for entry in [*asked, *gone.waiting]]
         for name, limit in limits.items():
@@ -136,6 +139,11 @@
         state = self._tenants.get(tenant)
         if state is None:
             return [QuotaDecided(number, True, 0.0)]
+        effects = self._admit(number, tenant, state, amount, now)
+        self._plan(tenant, state, now)
+        return effects
+
+    def _admit(self, number: int, tenant: str, state: _Tenant, amount: float, now: float) -> list[Effect]:
         state.typical += 0.1 * (amount - state.typical) if state.typical else amount
         self._end_lease(state, now)
         if not state.waiting and state.lease >= amount > 0:
@@ -154,6 +162,7 @@
         if state is not None:
             state.used.add(now, -amount)
             state.returned += amount
+            self._plan(tenant, state, now)
 
     def answered(self, call: int, answer: QuotaAnswer | None, now: float) -> list[Effect]:
         """The outcome of an ask: the owner's answer, or None."""
@@ -161,7 +170,14 @@
         state = self._tenants.get(tenant)
         if state is None or state.open is None or state.open.call != call:
             return []
-        ended, state.open = state.open, None
+        effects = self._answered(tenant, state, state.open, answer, now)
+        self._plan(tenant, state, now)
+        return effects
+
+    def _answered(
+        self, tenant: str, state: _Tenant, ended: _Open, answer: QuotaAnswer | None, now: float
+    ) -> list[Effect]:
+        state.open = None
         if answer is not None and answer.verdict is Verdict.DECIDED:
             return self._decided(state, ended, answer, now) + self._pump(tenant, state, now)
         state.waiting.extendleft(reversed(ended.asked))
@@ -181,24 +197,32 @@
     def wake(self, now: float) -> list[Effect]:
         """Time has passed: what waited too long is decided here, and due asks go out."""
         effects: list[Effect] = []
-        for tenant, state in self._tenants.items():
+        for tenant in self._due_times.due(now):
+            state = self._tenants[tenant]
             if state.waiting and state.waiting[0].until <= now:
                 effects += self._go_alone(state, now)
             self._end_lease(state, now)
             effects += self._pump(tenant, state, now)
+            self._plan(tenant, state, now)
         return effects
 
-    def due_at(self, now: float) -> float:
+    def due_at(self) -> float:
         """When `wake` is due next, if nothing else happens; infinity for never."""
-        return min((self._due(state, now) for state in self._tenants.values()), default=float("inf"))
+        return self._due_times.first()
+
+    def _plan(self, tenant: str, state: _Tenant, now: float) -> None:
+        """Note when a tenant is due, after any change to its state; what is noted is never too late."""
+        self._due_times.put(tenant, self._due(state, now))
 
     def _due(self, state: _Tenant, now: float) -> float:
-        due = state.waiting[0].until if state.waiting else float("inf")
+        due = state.waiting[0].until if state.waiting else NEVER
         if state.open is None:
             if state.waiting:
                 due = min(due, state.not_before)
             elif state.returned or state.lease or abs(state.used.total(now)) > 0:
                 due = min(due, max(state.not_before, self._next_sign(state)))
+            else:  # what was given back may outweigh what is left of the use, once some of it is old
+                due = min(due, max(state.not_before, self._next_sign(state), state.used.leaves_at()))
         return due
 
     def _next_sign(self, state: _Tenant) -> float:
--- a/roselink/membership/usage.py
+++ b/roselink/membership/usage.py
@@ -72,6 +72,10 @@
             self._total = 0.0
         return self._total
 
+    def leaves_at(self) -> float:
+        """When the oldest amount leaves the window; infinity where there is none."""
+        return self._slots[0][0] + self.window_s if self._slots else float("inf")
+
     def report(self, now: float) -> tuple[Used, ...]:
         """The last window as it is told to an owner."""
         self.total(now)
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -276,7 +276,7 @@
         return lambda answer: self.perform(self.repeat_client.answered(number, answer, self.fleet.now))
 
     def _schedule(self) -> None:
-        due = self.client.due_at(self.fleet.now)
+        due = self.client.due_at()
         if due < self._wake_at:
             self._wake_at = due
             self.later(max(0.001, due - self.fleet.now), self._wake)
--- /dev/null
+++ b/tests/membership/test_due_quotas.py
@@ -0,0 +1,64 @@
+"""When a gateway's quotas want to be woken: never later than a look at every tenant would say."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from roselink.membership.quota_client import QuotaClient, SendQuotaAsk
+from roselink.membership.roles import Roles
+from roselink.membership.usage import Limit, QuotaRule
+from roselink.model.fleet import Member
+from roselink.protocol.ledger import QuotaAnswer, QuotaAsk, Verdict
+
+RULE = QuotaRule(8.0, 0.1, 1000.0)
+NAMES = [f"t{number}" for number in range(8)]
+ROSTER = tuple(Member(f"edge-{number}", f"10.1.0.{number}:7500", 1) for number in range(4))
+
+
+def answer(ask: QuotaAsk, chance: random.Random) -> QuotaAnswer | None:
+    if chance.random() < 0.15:
+        return None
+    if chance.random() < 0.1:
+        return QuotaAnswer(chance.choice((Verdict.NOT_YET, Verdict.REPORT_WANTED)), ask.token)
+    admitted = tuple(chance.random() < 0.8 for _ in ask.amounts)
+    ahead = ask.ahead if all(admitted) else 0.0
+    return QuotaAnswer(Verdict.DECIDED, ask.token, admitted, ahead, 0.1, 0.3, 7, 100.0)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_tenant_is_noted_too_late(seed: int) -> None:
+    chance = random.Random(seed)
+    roles = Roles(ROSTER[0])
+    roles.update(1, ROSTER)
+    client = QuotaClient(roles, RULE)
+    limits = dict.fromkeys(NAMES, Limit(500.0, 500.0))
+    client.configure(limits, 0.0)
+    now, asks = 0.0, list[SendQuotaAsk]()
+    for number in range(2000):
+        now += chance.choice((0.0, 0.003, 0.02, 0.3))
+        if number % 400 == 399:
+            now += 10.0  # all use leaves the window
+        roles.confirm(now, now)
+        chosen = chance.random()
+        if chosen < 0.3:
+            effects = client.admit(number, chance.choice(NAMES), chance.choice((1.0, 40.0)), now)
+        elif chosen < 0.5 and asks:
+            ask = asks.pop(chance.randrange(len(asks)))
+            effects = client.answered(ask.call, answer(ask.ask, chance), now)
+        elif chosen < 0.55:
+            client.give_back(chance.choice(NAMES), 1.0, now)
+            effects = []
+        elif chosen < 0.57:
+            kept = chance.sample(NAMES, 6)
+            effects = client.configure({name: limits[name] for name in kept}, now)
+        elif chosen < 0.6:
+            effects = client.configure(limits, now)
+        else:
+            effects = client.wake(now)
+        asks += [effect for effect in effects if isinstance(effect, SendQuotaAsk)]
+        looked = min((client._due(state, now) for state in client._tenants.values()), default=float("inf"))
+        assert client.due_at() <= max(looked, now)  # what is past is due now
+        if chosen >= 0.6:  # right after a wake-up nothing is due but what waits for an owner's answer
+            assert client.due_at() > now
--- /dev/null
+++ b/tests/membership/test_due_times.py
@@ -0,0 +1,53 @@
+"""Due times of many names, against a plain table of them."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from roselink.membership.due_times import NEVER, DueTimes
+
+Step = tuple[str, float]
+
+
+@pytest.mark.parametrize(
+    ("steps", "now", "due", "first"),
+    [
+        ([], 9.0, [], NEVER),
+        ([("a", 1.0)], 0.5, [], 1.0),
+        ([("a", 1.0)], 1.0, ["a"], NEVER),
+        ([("a", 2.0), ("b", 1.0)], 1.5, ["b"], 2.0),
+        ([("a", 2.0), ("b", 1.0)], 2.0, ["b", "a"], NEVER),
+        ([("a", 1.0), ("a", 2.0)], 1.5, [], 2.0),
+        ([("a", 2.0), ("a", 1.0)], 1.5, ["a"], NEVER),
+        ([("a", 1.0), ("a", 2.0), ("a", 1.0)], 2.0, ["a"], NEVER),
+        ([("a", 1.0), ("a", NEVER)], 2.0, [], NEVER),
+        ([("a", NEVER)], 2.0, [], NEVER),
+    ],
+)
+def test_what_is_due(steps: list[Step], now: float, due: list[str], first: float) -> None:
+    times = DueTimes()
+    for name, at in steps:
+        times.put(name, at)
+    assert times.due(now) == due
+    assert times.first() == first
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_as_a_plain_table(seed: int) -> None:
+    chance = random.Random(seed)
+    times, table = DueTimes(), dict[str, float]()
+    for step in range(3000):
+        name = f"n{chance.randrange(30)}"
+        at = chance.choice((step + chance.randrange(50), NEVER, step))
+        times.put(name, at)
+        table[name] = at
+        assert times.first() == min(table.values())
+        if chance.random() < 0.2:
+            due = times.due(step)
+            assert sorted(due) == sorted(each for each, when in table.items() if when <= step)
+            assert [table[each] for each in due] == sorted(table[each] for each in due)
+            table = {each: when for each, when in table.items() if when > step}
+            assert times.first() == min(table.values(), default=NEVER)
+        assert len(times._heap) <= 2 * 30 + 65
