--- a/roselink/control/views.py
+++ b/roselink/control/views.py
@@ -69,11 +69,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """Figures for plans. `tolerated`: machines that may be lost at once. Times are seconds."""
+    """Figures for plans. `tolerated`: machines that may be lost at once. Times are seconds.
+
+    A voter that has been silent for `gone_after_s` gives its place to a joiner, and goes without one while
+    more than `2 * tolerated + 1` stay: fewer votes of the living then decide. It comes back as any joiner
+    does.
+    """
 
     tolerated: int
-    remove_after_s: float = 2.0
-    replace_after_s: float = 0.8
+    gone_after_s: float = 0.45
 
 
 def first_view(seeds: Iterable[str]) -> View:
@@ -118,6 +122,13 @@
     return proposal
 
 
+def reunited(view: View, peers: Mapping[str, Peer]) -> bool:
+    """Whether all machines of the view's chain are there and hear each other, in whatever process."""
+    found = [peers.get(link.voter.address) for link in view.chain]
+    group = tuple(peer for peer in found if peer is not None and peer.fit)
+    return len(group) == len(view.chain) and _all_hear(group)
+
+
 def whole(view: View, peers: Mapping[str, Peer]) -> bool:
     """Whether every process that the view has in its chain takes part, as far as is known."""
     return all(_takes_part(view, link, peers.get(link.voter.address)) for link in view.chain)
@@ -149,13 +160,13 @@
         if same is not None:
             voters[same] = joiner
             continue
-        gone = _longest_silent(voters, peers, rules.replace_after_s)
+        gone = _longest_silent(voters, peers, rules.gone_after_s)
         if gone is not None:
             voters[gone] = joiner
         elif len(voters) < MAX_VOTERS:
             voters.append(joiner)
     while len(voters) > 2 * rules.tolerated + 1:
-        gone = _longest_silent(voters, peers, rules.remove_after_s)
+        gone = _longest_silent(voters, peers, rules.gone_after_s)
         if gone is None:
             break
         del voters[gone]
