--- a/experiments/pulls.py
+++ b/experiments/pulls.py
@@ -6,22 +6,24 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from experiments.measure import heap_bytes, machine, processor_us, show, show_line
-from experiments.shapes import make_configuration, make_cores, make_hosts, make_member, make_roster
+from experiments.shapes import make_configuration, make_cores, make_hosts, make_member, make_roster, replaced
 from roselink.control.contract import Confirmation
-from roselink.control.pulls import Answer, PullDesk
+from roselink.control.pulls import Answer, AnswerChanges, PullDesk
 from roselink.control.views import MAX_VOTERS
 from roselink.dataplane.topology import HostDirectory
 from roselink.dataplane.upstream import FleetUpstream
+from roselink.distribution.host_changes import completed
 from roselink.distribution.pull import PULL_EVERY_S, PullMachine, SendPull
 from roselink.gateway.config import Descriptors
 from roselink.model.fleet import Host, Member, Snapshot, VersionVector
 from roselink.protocol.peers import FrameReader, frame
-from roselink.protocol.pull import Pull, PullReply
+from roselink.protocol.pull import ChangesReply, Pull, PullReply
 
 HOSTS = (60, 600, 3_000, 12_000)
 GATEWAYS = (6, 60, 175, 350)
@@ -55,7 +57,8 @@
 class HostList:
     """A whole list of hosts: made known at the tail, encoded for one gateway, and read and taken there.
 
-    `memory`: bytes on a gateway's heap of the list and of the data plane's directory.
+    `one_us`: taken by the data plane where all lines but one are those of before. `memory`: bytes on a
+    gateway's heap of the list and of the data plane's directory.
     """
 
     hosts: int
@@ -63,10 +66,23 @@
     encode_us: float
     decode_us: float
     directory_us: float
+    one_us: float
     reply_bytes: int
     memory: int
 
 
+@dataclass(frozen=True, slots=True)
+class HostDifference:
+    """One host of a list replaced, sent as what changed: at the tail for one gateway after the first, and at
+    a gateway up to its new list. `list_again_us`: the tail's whole list for one gateway after the first."""
+
+    hosts: int
+    tail_us: float
+    gateway_us: float
+    reply_bytes: int
+    list_again_us: float
+
+
 def quiet_pull(cores: int, pulls: int) -> QuietPull:
     """One gateway against a core that has nothing new."""
     machine_ = PullMachine(make_member(1), [("10.2.0.1", 7500)], random.Random(1))
@@ -132,7 +148,8 @@
     data = frame(ANSWER, 1, reply)
     loop = asyncio.new_event_loop()
     try:
-        directory_us = processor_us(_Directory(loop, hosts), times)
+        directory_us = processor_us(_Directory(loop, hosts, make_hosts(count)), times)
+        one_us = processor_us(_Directory(loop, hosts, replaced(hosts, 0, 1)), times)
         memory = heap_bytes(lambda: _received(loop, data))
     finally:
         loop.close()
@@ -142,21 +159,59 @@
         processor_us(lambda: frame(ANSWER, 1, reply), times),
         processor_us(lambda: FrameReader().feed(data), times),
         directory_us,
+        one_us,
         len(data),
         memory,
     )
 
 
+def host_difference(count: int, times: int) -> HostDifference:
+    """A list of so many hosts, of which one is replaced."""
+    hosts, members = make_hosts(count), make_roster(1)
+    desk = PullDesk()
+    desk.view_changed(0.0, EPOCH, True, None, make_cores(MAX_VOTERS))
+    desk.hosts_listed(0.0, EPOCH, hosts)
+    held = VersionVector(1, desk.versions.hosts, 0)
+    desk.hosts_listed(0.0, EPOCH, replaced(hosts, 0, 1))
+    confirmation = Confirmation(EPOCH, 1, b"", 1)
+
+    def answer(vector: VersionVector) -> bytes:
+        desk.pull(0.0, 1, Pull(members[0], vector, True), changes=True)
+        for effect in desk.confirmed(0.0, 1, confirmation):
+            if isinstance(effect, AnswerChanges):
+                return frame(ANSWER, 1, effect.reply)
+        raise RuntimeError("no answer")
+
+    data = answer(held)
+    reply: ChangesReply = FrameReader().feed(data)[0][2]
+    if reply.host_changes is None:
+        raise RuntimeError("the whole list came")
+
+    def take() -> None:
+        FrameReader().feed(data)
+        completed(reply, held.hosts, hosts)
+
+    return HostDifference(
+        count,
+        processor_us(lambda: answer(held), times),
+        processor_us(take, times),
+        len(data),
+        processor_us(lambda: answer(VersionVector()), times),
+    )
+
+
 class _Directory:
-    """The data plane's list of hosts, taken over again and again."""
+    """The data plane's list of hosts, which takes over two lists in turn."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, hosts: tuple[Host, ...]) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, *lists: tuple[Host, ...]) -> None:
         self._directory = HostDirectory(FleetUpstream(loop, Descriptors(1000)))
-        self._snapshot = Snapshot(VersionVector(1, 1, 1), make_configuration(1, 1), hosts, ())
+        configuration = make_configuration(1, 1)
+        made = [Snapshot(VersionVector(1, 1, 1), configuration, hosts, ()) for hosts in lists]
+        self._snapshots = itertools.cycle(made)
         self()
 
     def __call__(self) -> None:
-        self._directory.update(replace(self._snapshot))
+        self._directory.update(next(self._snapshots))
 
 
 def _received(loop: asyncio.AbstractEventLoop, data: bytes) -> _Directory:
@@ -194,6 +249,7 @@
         "tail encodes us",
         "gateway decodes us",
         "data plane takes us",
+        "but for one us",
         "reply bytes",
         "heap bytes",
     )
@@ -201,7 +257,7 @@
         "A changed list of hosts",
         columns,
         [
-            (h.hosts, h.list_us, h.encode_us, h.decode_us, h.directory_us, h.reply_bytes, h.memory)
+            (h.hosts, h.list_us, h.encode_us, h.decode_us, h.directory_us, h.one_us, h.reply_bytes, h.memory)
             for h in lists
         ],
     )
@@ -209,8 +265,19 @@
     show_line("encoded at the tail", "us", "host", [(h.hosts, h.encode_us) for h in lists])
     show_line("decoded at a gateway", "us", "host", [(h.hosts, h.decode_us) for h in lists])
     show_line("taken by the data plane", "us", "host", [(h.hosts, h.directory_us) for h in lists])
+    show_line("taken but for one", "us", "host", [(h.hosts, h.one_us) for h in lists])
     show_line("reply", "bytes", "host", [(h.hosts, h.reply_bytes) for h in lists])
     show_line("list and directory", "bytes", "host", [(h.hosts, h.memory) for h in lists])
+    ones = [host_difference(count, changes) for count in sizes]
+    columns = ("hosts", "tail us", "gateway us", "reply bytes", "whole list again us")
+    show(
+        "One host replaced, sent as what changed",
+        columns,
+        [(o.hosts, o.tail_us, o.gateway_us, o.reply_bytes, o.list_again_us) for o in ones],
+    )
+    show_line("difference at the tail", "us", "host", [(o.hosts, o.tail_us) for o in ones])
+    show_line("difference at a gateway", "us", "host", [(o.hosts, o.gateway_us) for o in ones])
+    show_line("whole list again", "us", "host", [(o.hosts, o.list_again_us) for o in ones])
 
 
 if __name__ == "__main__":
