--- a/roselink/dataplane/plane.py
+++ b/roselink/dataplane/plane.py
@@ -71,7 +71,10 @@
         return 0 if address is None else await server.listen(*address)
 
     def _refresh(self, snapshot: Snapshot) -> None:
+        known, hosts = self.engine.table is not None, self.engine.directory.any_ready()
         self.engine.refresh()
+        if not known or hosts != self.engine.directory.any_ready():
+            log.info("configuration %d, %d hosts", snapshot.configuration.generation, len(snapshot.hosts))
         if self.engine.table is not None:
             self.server.limit(self.engine.table.configuration.limits)
 
