--- a/roselink/distribution/puller.py
+++ b/roselink/distribution/puller.py
@@ -7,7 +7,7 @@
 import os
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from roselink.distribution.pull import Apply, Confirmed, Effect, PullMachine, SendPull, Unreadable
@@ -18,6 +18,7 @@
 
 log = logging.getLogger("roselink.distribution")
 
+EPOCH_SPAN = 1 << 32  # versions of hosts and roster are epoch and counter (`VersionVector`)
 SETTINGS_CHECK_S = 1.0  # the file may change without a signal
 Clock = Callable[[], float]
 Stamp = tuple[int, int, int]
@@ -77,6 +78,14 @@
         """Call with the time after which what is in force was the newest."""
         self._on_confirmed.append(callback)
 
+    def cores(self) -> tuple[str, ...]:
+        """The core's members ("ip:port"), as a confirmed reply named them last."""
+        return tuple(f"{host}:{port}" for host, port in self._machine.cores)
+
+    def hear_cores(self, cores: Iterable[str]) -> None:
+        """Addresses of core members that a peer knows of."""
+        self._machine.use_hints(cores)
+
     def set_serving(self, serving: bool) -> None:
         """Whether this gateway may hold roles, from the next pull on, which comes soon."""
         if serving != self._machine.serving:
@@ -135,6 +144,13 @@
                 case SendPull(call, address, pull, timeout_s):
                     self._pool.call(address, pull, timeout_s, partial(self._answered, call))
                 case Apply(snapshot):
+                    held = snapshot.vector
+                    log.info(
+                        "in force: configuration=%d hosts=%d:%d roster=%d:%d",
+                        held.configuration,
+                        *divmod(held.hosts, EPOCH_SPAN),
+                        *divmod(held.roster, EPOCH_SPAN),
+                    )
                     self._tell(snapshot)
                 case Confirmed(at):
                     for confirmed in self._on_confirmed:
