--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -240,8 +240,6 @@
 
     def _role_changed(self) -> None:
         """The tail of the active view reads the platform's list."""
-        if self._node is not None:
-            self._log.info("view", epoch=self._node.epoch, tail=self._node.tail, is_tail=self._node.is_tail)
         if self._client is not None and self._node is not None and not self._stopping:
             self._client.hold(self._node.epoch if self._node.is_tail else None)
 
--- a/roselink/distribution/pull.py
+++ b/roselink/distribution/pull.py
@@ -24,6 +24,7 @@
 TIMEOUT_S = 0.3
 TIMEOUT_GROWTH = 1.5  # after each round of failures: the core may be slow, not dead
 TIMEOUT_MOST_S = 1.0
+BARE_FIRST_S = 0.03  # between pulls that brought no list of hosts; it grows to the ordinary pause
 BACKOFF_FIRST_S = 0.05  # after every known member failed once
 BACKOFF_GROWTH = 1.5
 BACKOFF_MOST_S = 0.25
@@ -87,6 +88,7 @@
         self._failures = 0
         self._timeout_s = TIMEOUT_S
         self._backoff_s = BACKOFF_FIRST_S
+        self._bare_s = BARE_FIRST_S
         self.use_seeds(seeds)
 
     @property
@@ -141,9 +143,17 @@
             return effects
         self._failures, self._timeout_s, self._backoff_s = 0, TIMEOUT_S, BACKOFF_FIRST_S
         self._learn(reply.cores)
-        self.due_at = now + PULL_EVERY_S * (1 + JITTER * (2 * self._chance.random() - 1))
+        self.due_at = now + self._pause_s() * (1 + JITTER * (2 * self._chance.random() - 1))
         return effects
 
+    def _pause_s(self) -> float:
+        """Until the next pull. Without any list of hosts nothing goes on here: the core will have one soon,
+        or not for long."""
+        if self._vector.hosts:
+            return PULL_EVERY_S
+        self._bare_s = min(PULL_EVERY_S, self._bare_s * BACKOFF_GROWTH)
+        return self._bare_s
+
     def may_use_keys(self, now: float, revoke_s: float, strict: bool) -> bool:
         """Whether a request with a key may be sent to a host now."""
         if self.snapshot is None:
