Requests that can't be repeated use no host connection that rested long

Cause: a host may forget an idle connection early and without notice; the next thing sent on it is reset, and a request that may run once only is lost (502), as it may have run. Connections that rested for more than 0.15 s are left to repeatable requests, which a reset costs one budgeted repeat. Ruled out: dropping all rested connections (the repeatable ones gain by them).

--- a/roselink/dataplane/upstream.py
+++ b/roselink/dataplane/upstream.py
@@ -32,6 +32,7 @@
 PROBE_IDLE_S, PROBE_EVERY_S, PROBES = 1, 1, 2  # the same where nothing is on its way
 SURPLUS_LIMIT = 2  # answers to other requests that may lie ahead of the one that counts
 UNTOLD_IDLE_S = 0.4  # hosts that tell no idle time have one below a second
+ONCE_IDLE_S = 0.15  # a host may have forgotten what rested longer: a request sent there counts as run
 PROVEN_LIMIT = 64 * 1024  # a longer request may have reached the host in part when its write fails
 PROMISES = frozenset((408, 421, 429, 503))  # statuses that promise that a request has not run
 NOT_RUN = frozenset((400, 421, 429, 503))  # with `X-Not-Executed` the host has kept that promise
@@ -56,7 +57,7 @@
 
 
 class FleetAttempt(Attempt):
-    """One attempt. `sent`: bytes of it may have reached the host."""
+    """One attempt. `sent`: bytes of it may have reached the host. `once`: it can't be repeated."""
 
     def __init__(
         self,
@@ -67,8 +68,10 @@
         timeout_s: float,
         receiver: Receiver,
         wanted: Wanted,
+        once: bool = False,
     ) -> None:
         super().__init__(loop, host, timeout_s, lambda outcome, _: receiver.done(outcome), wanted)
+        self.once = once
         self.request_id, self.bodiless, self.receiver = request_id, bodiless, receiver
         self.sent = False
         self.by_close = False  # its answer told no length: the connection's end was its end
@@ -262,6 +265,11 @@
     def _new_connection(self, host: Host) -> HostConnection:
         return FleetConnection(self, host)
 
+    def _suits(self, attempt: Attempt, connection: HostConnection) -> bool:
+        once = isinstance(attempt, FleetAttempt) and attempt.once
+        fresh = self.now() - connection.idle_since <= ONCE_IDLE_S
+        return not once or fresh or connection.stale()  # a stale one is taken out and dropped
+
     def _may_connect(self, host: Host) -> bool:
         assert isinstance(host, FleetHost)
         if host.open >= host.most and host.idle:
--- a/roselink/gateway/upstream.py
+++ b/roselink/gateway/upstream.py
@@ -316,7 +316,7 @@
         host = attempt.host
         settled = attempt.began - SETTLE_S
         for connection in reversed(host.idle.copy()):
-            if connection.idle_since > settled:
+            if connection.idle_since > settled or not self._suits(attempt, connection):
                 continue
             host.idle.remove(connection)
             self._idle.pop(connection, None)
@@ -341,6 +341,10 @@
     def _new_connection(self, host: Host) -> HostConnection:
         return HostConnection(self, host)
 
+    def _suits(self, attempt: Attempt, connection: HostConnection) -> bool:
+        """Whether an idle connection may carry this attempt."""
+        return True
+
     def _may_connect(self, host: Host) -> bool:
         """Whether the host takes one more connection from here."""
         return True
--- a/tests/dataplane/test_pool.py
+++ b/tests/dataplane/test_pool.py
@@ -75,6 +75,22 @@
         await s.hosts[0].closed.get()
 
 
+@pytest.mark.parametrize(
+    ("path", "rested_s", "connections"),
+    [("/once/x", 0.0, 1), ("/once/x", 0.3, 2), ("/safe/x", 0.3, 1)],
+)
+@on_loop
+async def test_what_can_not_be_repeated_goes_on_no_connection_that_its_host_may_have_forgotten(
+    path: str, rested_s: float, connections: int
+) -> None:
+    async with stage(plain(b"ok", "200 OK", KEEPS)) as s:
+        await ask_in_turn(s, 1, path)
+        [connection] = s.plane.engine.hosts["i-0"].idle
+        connection.idle_since -= rested_s
+        await ask_in_turn(s, 1, path)
+        assert len(s.hosts[0].writers) == connections
+
+
 @on_loop
 async def test_a_close_that_came_while_idle_costs_nothing() -> None:
     async with stage(plain(b"ok", "200 OK", KEEPS)) as s, s.client() as client:
