--- a/tests/router/test_app.py
+++ b/tests/router/test_app.py
@@ -18,7 +18,7 @@
 from roselink.model.fleet import Member, Snapshot, VersionVector
 from roselink.model.settings import ProcessSettings, load_settings
 from roselink.protocol.peers import Address, PeerServer, Reply
-from roselink.protocol.pull import Pull, PullReply
+from roselink.protocol.pull import ChangesPull, Pull, PullReply
 from roselink.router.app import Control, serve
 
 HOST = "127.0.0.1"
@@ -48,6 +48,8 @@
         return self
 
     def handle(self, peer: Address, message: Any, reply: Reply) -> None:
+        if isinstance(message, ChangesPull):
+            message = message.pull
         assert isinstance(message, Pull)
         self.pulls.append(message)
         before = dict(self.members)
