--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -1,8 +1,10 @@
 """One core process: the chain, the pull service, the list reader and the operator's interface, assembled.
 
-The chain takes part before the HTTP libraries are loaded: their imports are most of a start's processor time,
-and while the core waits for a view the gateways wait for the core. They are imported in a thread meanwhile.
-Their order matters: Twisted's reactor must be installed on the event loop before anything else imports it.
+The chain takes part before the HTTP libraries are loaded: their imports are most of a start's processor
+time, and while the core waits for a view the gateways wait for the core. They are imported one by one
+meanwhile, with a turn of the loop after each. (Not in a thread: beside the disk's thread that crashed in
+native code on the bench.) Their order matters: Twisted's reactor must be installed on the event loop before
+anything else imports it.
 """
 
 from __future__ import annotations
@@ -35,6 +37,18 @@
 STOP_SHARE = 0.25  # of `grace_s`: how long orders under way may take to end after SIGTERM
 MOST_STOP_S = 1.5
 STOP_STEP_S = 0.05
+HTTP_MODULES = (  # behind the reactor, in this order: each import takes some hundredths of a second at most
+    "twisted.web.server",
+    "twisted.web.client",
+    "werkzeug.routing",
+    "klein",
+    "voluptuous",
+    "structlog",
+    "roselink.control.logs",
+    "roselink.control.api",
+    "treq.client",
+    "roselink.control.platform_client",
+)
 LISTEN_TRIES = 50
 LISTEN_PAUSE_S = 0.1
 
@@ -74,12 +88,6 @@
     importlib.import_module("twisted.internet.asyncioreactor")
 
 
-def load_http() -> None:
-    """Import the HTTP sides; the reactor must have been installed."""
-    for name in ("logs", "api", "platform_client"):
-        importlib.import_module(f"roselink.control.{name}")
-
-
 def install_reactor(loop: asyncio.AbstractEventLoop) -> Any:
     """Put Twisted on the event loop and return its reactor."""
     load_reactor()
@@ -199,9 +207,10 @@
     async def _start_http(self, node: CoreNode, pulls: PullService) -> None:
         """Load the HTTP libraries beside the running chain, then listen to the operator."""
         settings = self._settings
-        await self._loop.run_in_executor(None, load_reactor)
         reactor = install_reactor(self._loop)
-        await self._loop.run_in_executor(None, load_http)
+        for name in HTTP_MODULES:
+            await asyncio.sleep(0)
+            importlib.import_module(name)
         import structlog
 
         from roselink.control.api import AdminApi
--- a/roselink/dataplane/plane.py
+++ b/roselink/dataplane/plane.py
@@ -74,7 +74,11 @@
         known, hosts = self.engine.table is not None, self.engine.directory.any_ready()
         self.engine.refresh()
         if not known or hosts != self.engine.directory.any_ready():
-            log.info("configuration %d, %d hosts", snapshot.configuration.generation, len(snapshot.hosts))
+            log.info(
+                "configuration_in_force generation=%d hosts=%d",
+                snapshot.configuration.generation,
+                len(snapshot.hosts),
+            )
         if self.engine.table is not None:
             self.server.limit(self.engine.table.configuration.limits)
 
--- a/roselink/distribution/puller.py
+++ b/roselink/distribution/puller.py
@@ -146,7 +146,7 @@
                 case Apply(snapshot):
                     held = snapshot.vector
                     log.info(
-                        "in force: configuration=%d hosts=%d:%d roster=%d:%d",
+                        "in_force configuration=%d hosts=%d:%d roster=%d:%d",
                         held.configuration,
                         *divmod(held.hosts, EPOCH_SPAN),
                         *divmod(held.roster, EPOCH_SPAN),
--- a/roselink/membership/budget_service.py
+++ b/roselink/membership/budget_service.py
@@ -171,7 +171,7 @@
                 try:
                     self._perform_one(effect)
                 except Exception:  # one request's fault must not keep the others from their decisions
-                    log.exception("a decision was not taken over")
+                    log.exception("decision_not_taken")
         finally:
             self._performing = False
         self._schedule()
--- a/tests/router/test_app.py
+++ b/tests/router/test_app.py
@@ -253,6 +253,9 @@
     def stop(self) -> None:
         self.calls.append("stop")
 
+    def status_line(self) -> str:
+        return "open=0"
+
 
 CREATED: list[FakeDataPlane] = []
 
