Core start: imports only while the disk's thread is idle

Ruled out: the importing thread alone. Now the loop's thread imports only while no disk job is open; none can begin while it imports, since the loop hands them out. Bounded at 0.1 s, so a stalled disk delays a start little.

--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -2,8 +2,8 @@
 
 The chain takes part before the HTTP libraries are loaded: their imports are most of a start's processor
 time, and while the core waits for a view the gateways wait for the core. They are imported one by one
-meanwhile, with a turn of the loop after each. (Not in a thread: beside the disk's thread that crashed in
-native code on the bench.) Their order matters: Twisted's reactor must be installed on the event loop before
+meanwhile, with a turn of the loop after each and while the disk's thread is idle: imports beside another
+thread that uses files crashed in native code on the bench. Their order matters: Twisted's reactor must be installed on the event loop before
 anything else imports it.
 """
 
@@ -49,6 +49,7 @@
     "treq.client",
     "roselink.control.platform_client",
 )
+DISK_WAIT_S, DISK_STEP_S = 0.1, 0.002  # for the disk's thread before an import; a stalled disk holds up none
 LISTEN_TRIES = 50
 LISTEN_PAUSE_S = 0.1
 
@@ -67,6 +68,10 @@
     def handle(self, peer: Address, message: object, reply: Reply) -> bool:
         """Take a record of the chain; False for any other."""
 
+    @property
+    def disk_idle(self) -> bool:
+        """Whether no disk work is under way."""
+
     def seeds_changed(self, settings: ProcessSettings) -> None:
         """The settings name other seeds: members that may be asked for the core's state."""
 
@@ -207,9 +212,10 @@
     async def _start_http(self, node: CoreNode, pulls: PullService) -> None:
         """Load the HTTP libraries beside the running chain, then listen to the operator."""
         settings = self._settings
+        await self._disk_idle(node)
         reactor = install_reactor(self._loop)
         for name in HTTP_MODULES:
-            await asyncio.sleep(0)
+            await self._disk_idle(node)
             importlib.import_module(name)
         import structlog
 
@@ -229,6 +235,13 @@
         if admin is not None:
             self._listening = reactor.listenTCP(admin[1], self._api.site(), backlog=128, interface=admin[0])
 
+    async def _disk_idle(self, node: CoreNode) -> None:
+        """Let the loop turn, and wait for the disk's thread: no two threads read and write files at once."""
+        await asyncio.sleep(0)
+        ends = self._loop.time() + DISK_WAIT_S
+        while not node.disk_idle and self._loop.time() < ends:
+            await asyncio.sleep(DISK_STEP_S)
+
     async def _listen(self, host: str, port: int) -> None:
         """Take the port for peers; a former process may hold it for a moment."""
         for left in reversed(range(LISTEN_TRIES)):
--- a/roselink/control/node.py
+++ b/roselink/control/node.py
@@ -51,6 +51,7 @@
         self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
         self._member: Member | None = None
         self._running = False
+        self._disk_jobs = 0
         self._logged_epoch = 0
         self._timer: asyncio.TimerHandle | None = None
         self._submits: dict[int, Callable[[SubmitOutcome], None]] = {}
@@ -63,7 +64,7 @@
         """Read the disk, then take part. Calls that come before end without a promise."""
         self._running = True
         threading.Thread(target=self._work, name="disk", daemon=True).start()
-        self._jobs.put(self._load)
+        self._queue_job(self._load)
 
     async def stop(self) -> None:
         """Leave the chain if that is soon done, and end."""
@@ -159,6 +160,11 @@
         """Whether the disk took the last saves in time."""
         return self._member is not None and self._member.disk_fit
 
+    @property
+    def disk_idle(self) -> bool:
+        """Whether the disk's thread has nothing to do."""
+        return not self._disk_jobs
+
     # --- effects
 
     def _perform(self, effects: list[Effect]) -> None:
@@ -199,6 +205,10 @@
         while (job := self._jobs.get()) is not None:
             job()
 
+    def _queue_job(self, job: Callable[[], None]) -> None:
+        self._disk_jobs += 1
+        self._jobs.put(job)
+
     def _hand_back(self, step: Callable[..., None], *values: Any) -> None:
         """Have the loop's thread take a result; the loop may have ended."""
         try:
@@ -217,10 +227,12 @@
         self._hand_back(self._loaded, loaded)
 
     def _load_later(self) -> None:
+        self._disk_jobs -= 1
         if self._running:
-            self._loop.call_later(0.2, self._jobs.put, self._load)
+            self._loop.call_later(0.2, self._queue_job, self._load)
 
     def _loaded(self, loaded: Loaded) -> None:
+        self._disk_jobs -= 1
         if not self._running:
             return
         settings = self._settings
@@ -249,9 +261,10 @@
             else:
                 self._hand_back(self._saved, effect.store, True)
 
-        self._jobs.put(job)
+        self._queue_job(job)
 
     def _saved(self, store: Store, well: bool) -> None:
+        self._disk_jobs -= 1
         if self._member is None or not self._running:
             return
         now = self._loop.time()
