--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -3,8 +3,8 @@
 The chain takes part before the HTTP libraries are loaded: their imports are most of a start's processor
 time, and while the core waits for a view the gateways wait for the core. They are imported one by one
 meanwhile, with a turn of the loop after each and while the disk's thread is idle: imports beside another
-thread that uses files crashed in native code on the bench. Their order matters: Twisted's reactor must be installed on the event loop before
-anything else imports it.
+thread that uses files crashed in native code on the bench. Their order matters: Twisted's reactor must be
+installed on the event loop before anything else imports it.
 """
 
 from __future__ import annotations
