--- a/roselink/dataplane/engine.py
+++ b/roselink/dataplane/engine.py
@@ -24,7 +24,6 @@
     give_up_at,
     judge,
 )
-from roselink.dataplane.arrivals import Arrival, Arrivals
 from roselink.dataplane.attempts import Attempts
 from roselink.dataplane.exchange import ClientAnswer, Exchange
 from roselink.dataplane.interfaces import Authority, Decisions, Quotas, SharedBudget
@@ -83,7 +82,6 @@
         self.body_bytes = 0  # of all open requests
         self.counts: Counter[str] = Counter()
         self._attempts = Attempts(loop, upstream, self.hosts, self)
-        self.arrivals = Arrivals(loop, self._decide)
 
     # From the authority.
 
@@ -101,17 +99,12 @@
             self._queue.add(told)
         with self._queue.held():
             self.directory.update(snapshot)
-        if not self.arrivals.over and self.directory.any_ready():
-            self.arrivals.end()
 
     # From the client side.
 
-    def accept(self, request: ProxyRequest, client: ClientAnswer) -> Exchange | Arrival | None:
+    def accept(self, request: ProxyRequest, client: ClientAnswer) -> Exchange | None:
         """Take a request; None if it is answered already. The client gets one answer, unless it leaves."""
         self.counts["requests"] += 1
-        return self._decide(request, client) if self.arrivals.over else self.arrivals.add(request, client)
-
-    def _decide(self, request: ProxyRequest, client: ClientAnswer) -> Exchange | None:
         verdict = judge(self.table, self._authority.may_use_keys(), request)
         if isinstance(verdict, Refusal):
             self._refuse(client, *verdict)
@@ -159,17 +152,15 @@
         exchange.facts = facts_of(exchange)
         self.feed(RequestArrived(exchange.facts))
 
-    def depart(self, taken: Exchange | Arrival) -> None:
+    def depart(self, exchange: Exchange) -> None:
         """The client has gone."""
-        exchange = self.arrivals.forget(taken) if isinstance(taken, Arrival) else taken
-        if exchange is not None and not exchange.closed:
+        if not exchange.closed:
             self.counts["departed"] += 1
             self._close(exchange)
 
     def drain(self, ends_at: float) -> None:
         """All requests have their answer at `ends_at`, loop time."""
         self._ends_at = ends_at
-        self.arrivals.end()
         for exchange in self.open.values():
             if exchange.expires_at > ends_at:
                 exchange.expires_at = ends_at
--- a/roselink/dataplane/server.py
+++ b/roselink/dataplane/server.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 from roselink.dataplane.admission import NOT_CONFIRMED_RETRY_S
-from roselink.dataplane.arrivals import Arrival
 from roselink.dataplane.engine import Engine
 from roselink.dataplane.exchange import Exchange
 from roselink.dataplane.requests import Headers, ProxyRequest, read_request
@@ -32,7 +31,7 @@
     def __init__(self, server: DataServer) -> None:
         super().__init__(server)
         self._owner = server
-        self._exchange: Exchange | Arrival | None = None
+        self._exchange: Exchange | None = None
         self._version = "1.1"
         self._head_only = self._chunked = self._kept = False
         self._unwritten = b""
@@ -186,8 +185,7 @@
         return DataConnection(self)
 
     def crowded(self) -> bool:
-        held = self.engine.body_bytes + self.engine.arrivals.body_bytes
-        return super().crowded() or held > BODIES_LIMIT
+        return super().crowded() or self.engine.body_bytes > BODIES_LIMIT
 
 
 def _sizes(head: int, body: int) -> Sizes:
