--- a/roselink/distribution/puller.py
+++ b/roselink/distribution/puller.py
@@ -14,7 +14,7 @@
 from roselink.model.fleet import Member, Snapshot
 from roselink.model.settings import ProcessSettings, SettingsError, load_settings
 from roselink.protocol.peers import PeerPool
-from roselink.protocol.pull import PullReply
+from roselink.protocol.pull import ChangesPull, ChangesReply, PullReply
 
 log = logging.getLogger("roselink.distribution")
 
@@ -103,7 +103,7 @@
         try:
             settings = load_settings(self._path)
         except SettingsError as error:
-            log.warning("the old settings stand: %s", error)
+            log.warning("settings_unusable faults=%s", error)
             return
         self._machine.use_seeds(settings.seed_peers())
         self.hurry()
@@ -135,18 +135,18 @@
 
     def _answered(self, call: int, answer: object) -> None:
         if not self._stopped:
-            reply = answer if isinstance(answer, PullReply) else None
+            reply = answer if isinstance(answer, PullReply | ChangesReply) else None
             self._perform(self._machine.answered(call, reply, self._clock()))
 
     def _perform(self, effects: list[Effect]) -> None:
         for effect in effects:
             match effect:
                 case SendPull(call, address, pull, timeout_s):
-                    self._pool.call(address, pull, timeout_s, partial(self._answered, call))
+                    self._pool.call(address, ChangesPull(pull), timeout_s, partial(self._answered, call))
                 case Apply(snapshot):
                     held = snapshot.vector
                     log.info(
-                        "in force: configuration=%d hosts=%d:%d roster=%d:%d",
+                        "in_force configuration=%d hosts=%d:%d roster=%d:%d",
                         held.configuration,
                         *divmod(held.hosts, EPOCH_SPAN),
                         *divmod(held.roster, EPOCH_SPAN),
@@ -156,7 +156,7 @@
                     for confirmed in self._on_confirmed:
                         confirmed(at)
                 case Unreadable(version, why):
-                    log.error("configuration at %d can't be read: %s", version, why)
+                    log.error("configuration_unreadable version=%d why=%s", version, why)
         self._schedule()
 
     def _tell(self, snapshot: Snapshot) -> None:
@@ -164,4 +164,4 @@
             try:
                 callback(snapshot)
             except Exception:  # one reader's fault must not keep the others, or the pulls, from going on
-                log.exception("a snapshot was not taken over")
+                log.exception("snapshot_failed")
