Host choice: explore with cheap picks, and weigh prompt parts that are read again

A pick whose lower host would read over 1,000 shared tokens more leaves its exploration to a cheaper pick; of all picks one in twenty stays.

--- a/roselink/routing/host_choice.py
+++ b/roselink/routing/host_choice.py
@@ -15,6 +15,10 @@
 from roselink.routing.pool import Pool
 
 EXPLORE = 0.05  # share of picks that go to the lower-scored of the two
+CHEAP_TOKENS = 1000.0  # shared tokens read again up to which a pick is a cheap one to explore with
+MOST_OWED = 2.0  # explorations put off for cheaper picks; past it the next pick explores, whatever it costs
+MOST_CHANCE = 0.25  # of a cheap pick, while explorations are owed
+AGAIN_WEIGHT = 3.0  # of a shared token read again, against one that is read anyway: it is work for nothing
 REQUEST_TOKENS = 2000.0  # prompt tokens to read that weigh as one request in flight
 FOREIGN = 0.95  # of its score, for a host of another zone
 RANKED = 4  # hosts of a key that are considered before a random draw
@@ -25,6 +29,7 @@
 
     def __init__(self, zone: str, randomness: random.Random, memory: PrefixMemory) -> None:
         self._zone, self._random, self._memory = zone, randomness, memory
+        self._owed = 0.0  # explorations that picks so far have earned and not had
 
     def pick(
         self, pool: Pool, facts: RequestFacts, tried: Collection[HostState], now: float
@@ -34,9 +39,11 @@
             shared = self._memory.shared(facts)
             pair = self._ranked_pair(pool, shared, tried, now)
             if pair:
-                return self._compare(pair, [self._affine_score(*entry, shared, now) for entry in pair])
+                scores = [self._affine_score(*entry, shared, now) for entry in pair]
+                tokens = [self._memory.to_read(host.spec.id, shared, home, now) for host, home in pair]
+                return self._compare([host for host, _ in pair], scores, tokens)
         hosts = self._random_pair(pool, tried, now)
-        return self._compare([(h, False) for h in hosts], [self.score(h) for h in hosts]) if hosts else None
+        return self._compare(hosts, [self.score(host) for host in hosts]) if hosts else None
 
     def tokens_to_read(self, pool: Pool, facts: RequestFacts, host: HostState, now: float) -> int:
         """Prompt tokens that a host is expected to read for a request."""
@@ -56,7 +63,8 @@
 
     def _affine_score(self, host: HostState, home: bool, shared: tuple[PromptPart, ...], now: float) -> float:
         to_read = self._memory.to_read(host.spec.id, shared, home, now)
-        load = host.weight() * host.in_flight + (host.reading + to_read) / REQUEST_TOKENS
+        tokens = host.reading + AGAIN_WEIGHT * to_read
+        load = host.weight() * host.in_flight + tokens / REQUEST_TOKENS
         return host.payoff / (1.0 + load)
 
     def _ranked_pair(
@@ -83,8 +91,25 @@
                 return [first] if second is None else [first, second]
         return []
 
-    def _compare(self, pair: list[tuple[HostState, bool]], scores: list[float]) -> HostState:
+    def _compare(
+        self, pair: list[HostState], scores: list[float], to_read: list[float] | None = None
+    ) -> HostState:
+        """The better of the two, or the other in its turn. `to_read`: shared tokens that each would read."""
         if len(pair) == 1:
-            return pair[0][0]
+            return pair[0]
         better = 0 if scores[0] >= scores[1] else 1
-        return pair[1 - better if self._random.random() < EXPLORE else better][0]
+        again = 0.0 if to_read is None else to_read[1 - better] - to_read[better]
+        return pair[1 - better if self._explores(again) else better]
+
+    def _explores(self, again: float) -> bool:
+        """Whether this pick goes to the lower: one in twenty of all. A pick by which `again` shared tokens
+        more would be read leaves its turn to a cheaper one, as long as such picks come."""
+        self._owed += EXPLORE
+        if again > CHEAP_TOKENS:
+            if self._owed <= MOST_OWED:
+                return False
+            self._owed -= 1.0
+            return True
+        chance = min(MOST_CHANCE, self._owed)
+        self._owed -= chance
+        return self._random.random() < chance
--- a/tests/routing/test_host_choice.py
+++ b/tests/routing/test_host_choice.py
@@ -62,6 +62,38 @@
     assert 0.04 < counts["b"] / 20_000 < 0.06
 
 
+LONG = replace(FACTS, affinity=True, prompt=prompt("group", "session", "own"), tokens_in=9000)
+SHORT = replace(FACTS, affinity=True, prompt=prompt("other", "chat", "own"), tokens_in=300)
+
+
+def lower_picks(kinds: list[d.RequestFacts], times: int) -> list[int]:
+    """How many picks of each kind of request went to a host that is not the key's home."""
+    made, choose = pool(6), chooser()
+    homes = [next(iter(made.ranked(facts.prompt[-2].id, 1))) for facts in kinds]
+    elsewhere = [0] * len(kinds)
+    for turn in range(times):
+        kind = turn % len(kinds)
+        elsewhere[kind] += choose.pick(made, kinds[kind], (), 0.0) is not homes[kind]
+    return elsewhere
+
+
+def parts(facts: d.RequestFacts, *tokens: int) -> d.RequestFacts:
+    sized = tuple(replace(part, tokens=size) for part, size in zip(facts.prompt, tokens, strict=True))
+    return replace(facts, prompt=sized)
+
+
+def test_a_pick_that_would_read_much_again_leaves_its_exploration_to_a_cheaper_one() -> None:
+    long, short = parts(LONG, 2500, 3800, 2900), parts(SHORT, 100, 70, 200)
+    expensive, cheap = lower_picks([long, short], 20_000)
+    assert expensive == 0
+    assert 0.045 < cheap / 20_000 < 0.055  # of all picks, as ever
+
+
+def test_where_no_pick_is_cheap_one_in_twenty_still_goes_to_the_lower() -> None:
+    (expensive,) = lower_picks([parts(LONG, 2500, 3800, 2900)], 20_000)
+    assert 0.045 < expensive / 20_000 < 0.055
+
+
 def test_of_two_hosts_the_busier_loses() -> None:
     idle, busy = fresh_state(host("a")), fresh_state(host("b"))
     busy.in_flight = 3
