Payoffs of hosts are pooled over all gateways by the pulls

Cause: with 85 gateways before 34 hosts each gateway sees a host once in nine seconds. A host that says it is well and fails everything (or part) failed each gateway several times before it was rested, for 2 s at most, which is less than the time to that gateway's next request there; a payoff smoothed by 0.12 moved as slowly. Change: pulls carry what each gateway saw of hosts (served within the aim, or not); the tail sums it with a half-life of 2 s and a bounded weight, and names fallen hosts in its replies; gateways compare hosts by their own payoff times the pooled one. Without the core, or after 2 s without news, the own payoff stands alone. Ruled out: longer rests or faster smoothing in each gateway alone (each must still fail several times a host); probes (priced, and their answers are false here).

--- a/roselink/control/pulls.py
+++ b/roselink/control/pulls.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from roselink.control.contract import Address, Confirmation
+from roselink.control.payoffs import PayoffPool
 from roselink.model.fleet import Host, Member, VersionVector
 from roselink.protocol.pull import Pull, PullReply
 from roselink.protocol.records import record
@@ -112,6 +113,7 @@
         self._hosts: tuple[Host, ...] | None = None
         self._hosts_identity: tuple[object, ...] = ()
         self._hosts_version = 0
+        self._payoffs = PayoffPool()
 
     @property
     def versions(self) -> VersionVector:
@@ -129,6 +131,7 @@
         self._epoch, self._is_tail = epoch, is_tail
         self._hosts, self._hosts_identity, self._hosts_version = None, (), 0
         self._roster, self._roster_version = None, 0
+        self._payoffs = PayoffPool()
         self._collect_until = now + self._times.collect_s
         if not is_tail:
             self._gateways.clear()
@@ -143,6 +146,7 @@
         self._note(now)
         if self._is_tail:
             self._heard(now, pull)
+            self._payoffs.heard(now, pull.outcomes)
             self._waiting[number] = pull
             return [Confirm(number)]
         if forwarded or self._tail is None:
@@ -166,7 +170,7 @@
         if confirmation is None or not self._is_tail or confirmation.epoch != self._epoch:
             return [Answer(number, self._unconfirmed())]
         self._publish_roster(now)
-        return [Answer(number, self._reply(pull.vector, confirmation))]
+        return [Answer(number, self._reply(now, pull.vector, confirmation))]
 
     def hosts_listed(self, now: float, epoch: int, hosts: tuple[Host, ...]) -> list[PullEffect]:
         """A whole list of hosts, read from its first page on in view `epoch`."""
@@ -232,7 +236,7 @@
     def _next_version(self, version: int) -> int:
         return max(version, self._epoch << EPOCH_SHIFT) + 1
 
-    def _reply(self, held: VersionVector, confirmation: Confirmation) -> PullReply:
+    def _reply(self, now: float, held: VersionVector, confirmation: Confirmation) -> PullReply:
         sequence = confirmation.sequence
         return PullReply(
             confirmed=True,
@@ -241,6 +245,7 @@
             hosts=self._hosts if self._hosts_version > held.hosts else None,
             roster=self._roster if self._roster_version > held.roster else None,
             cores=self._cores,
+            payoffs=self._payoffs.told(now),
         )
 
     def _unconfirmed(self) -> PullReply:
--- a/roselink/dataplane/plane.py
+++ b/roselink/dataplane/plane.py
@@ -14,6 +14,7 @@
 from roselink.gateway.connections import HttpServer
 from roselink.model.fleet import Snapshot
 from roselink.model.settings import ProcessSettings
+from roselink.routing.decisions import PooledPayoffs
 
 log = logging.getLogger("roselink.dataplane")
 
@@ -91,6 +92,10 @@
 
     # The end.
 
+    def pool_payoffs(self, payoffs: tuple[tuple[str, float], ...]) -> None:
+        """Payoffs of hosts over all gateways, by id, 0 to 1; those not named have 1."""
+        self.engine.feed(PooledPayoffs(payoffs))
+
     def begin_drain(self) -> None:
         """Not ready at once; connections are taken while the platform may still send them."""
         if self.draining:
--- a/roselink/distribution/pull.py
+++ b/roselink/distribution/pull.py
@@ -10,12 +10,14 @@
 
 import json
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from roselink.model.configuration import Configuration, Limits
 from roselink.model.fleet import Member, Snapshot, VersionVector
+from roselink.protocol.payoffs import HostOutcomes, PooledPayoffs
 from roselink.protocol.pull import Pull, PullReply
+from roselink.protocol.records import RecordError, decode, number_of_type
 
 Address = tuple[str, int]
 
@@ -63,7 +65,14 @@
     why: str
 
 
-Effect = SendPull | Apply | Confirmed | Unreadable
+@dataclass(frozen=True, slots=True)
+class Payoffs:
+    """Effect: the hosts' pooled payoffs, 0 to 1, those not named are 1."""
+
+    hosts: tuple[tuple[str, float], ...]
+
+
+Effect = SendPull | Apply | Confirmed | Unreadable | Payoffs
 
 
 class PullMachine:
@@ -74,6 +83,7 @@
         self.snapshot: Snapshot | None = None
         self.confirmed_at: float | None = None
         self.due_at = 0.0
+        self.outcomes: Callable[[], tuple[HostOutcomes, ...]] = tuple  # asked at each pull, for what is new
         self._member, self._chance = member, chance
         self._seeds: tuple[Address, ...] = ()
         self._cores: tuple[Address, ...] = ()
@@ -86,6 +96,7 @@
         self._failures = 0
         self._timeout_s = TIMEOUT_S
         self._backoff_s = BACKOFF_FIRST_S
+        self._payoffs: tuple[bytes, tuple[tuple[str, float], ...]] = b"", ()
         self.use_seeds(seeds)
 
     @property
@@ -111,7 +122,7 @@
             return []
         self._calls += 1
         self._open = self._calls, now
-        pull = Pull(self._member, self._vector, self.serving)
+        pull = Pull(self._member, self._vector, self.serving, self.outcomes())
         return [SendPull(self._calls, self._order[0], pull, self._timeout_s)]
 
     def hurry(self, now: float) -> None:
@@ -133,6 +144,7 @@
             return effects
         self._failures, self._timeout_s, self._backoff_s = 0, TIMEOUT_S, BACKOFF_FIRST_S
         self._learn(reply.cores)
+        effects += self._take_payoffs(reply.payoffs)
         self.due_at = now + PULL_EVERY_S * (1 + JITTER * (2 * self._chance.random() - 1))
         return effects
 
@@ -199,6 +211,23 @@
             effects.append(Confirmed(self.confirmed_at))
         return effects
 
+    def _take_payoffs(self, told: bytes) -> list[Effect]:
+        """Nothing is told twice that says nothing."""
+        before, hosts = self._payoffs
+        if told != before:
+            hosts = _read_payoffs(told)
+            self._payoffs = told, hosts
+        return [Payoffs(hosts)] if told or before else []
+
+
+def _read_payoffs(told: bytes) -> tuple[tuple[str, float], ...]:
+    """Advice only: what can't be read speaks against no host."""
+    try:
+        pooled = decode(number_of_type(PooledPayoffs), told) if told else PooledPayoffs(())
+    except RecordError:
+        return ()
+    return tuple((entry.host, min(1.0, max(0.0, entry.percent / 100))) for entry in pooled.hosts)
+
 
 def _address(text: str) -> Address | None:
     host, _, port = text.rpartition(":")
--- a/roselink/distribution/puller.py
+++ b/roselink/distribution/puller.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable
 from functools import partial
 
-from roselink.distribution.pull import Apply, Confirmed, Effect, PullMachine, SendPull, Unreadable
+from roselink.distribution.pull import Apply, Confirmed, Effect, Payoffs, PullMachine, SendPull, Unreadable
 from roselink.model.fleet import Member, Snapshot
 from roselink.model.settings import ProcessSettings, SettingsError, load_settings
+from roselink.protocol.payoffs import HostOutcomes
 from roselink.protocol.peers import PeerPool
 from roselink.protocol.pull import PullReply
 
@@ -42,6 +43,7 @@
         self._machine = PullMachine(member, settings.seed_peers(), chance)
         self._on_snapshot: list[Callable[[Snapshot], None]] = []
         self._on_confirmed: list[Callable[[float], None]] = []
+        self._on_payoffs: Callable[[Payoffs], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._settings_timer: asyncio.TimerHandle | None = None
         self._stamp = self._read_stamp()
@@ -77,6 +79,12 @@
         """Call with the time after which what is in force was the newest."""
         self._on_confirmed.append(callback)
 
+    def share_payoffs(
+        self, outcomes: Callable[[], tuple[HostOutcomes, ...]], told: Callable[[Payoffs], None]
+    ) -> None:
+        """Report `outcomes()` with each pull, and call `told` with what all gateways' reports come to."""
+        self._machine.outcomes, self._on_payoffs = outcomes, told
+
     def set_serving(self, serving: bool) -> None:
         """Whether this gateway may hold roles, from the next pull on, which comes soon."""
         if serving != self._machine.serving:
@@ -139,6 +147,9 @@
                 case Confirmed(at):
                     for confirmed in self._on_confirmed:
                         confirmed(at)
+                case Payoffs():
+                    if self._on_payoffs is not None:
+                        self._on_payoffs(effect)
                 case Unreadable(version, why):
                     log.error("configuration at %d can't be read: %s", version, why)
         self._schedule()
--- a/roselink/protocol/pull.py
+++ b/roselink/protocol/pull.py
@@ -11,17 +11,20 @@
 from dataclasses import dataclass
 
 from roselink.model.fleet import Host, Member, VersionVector
+from roselink.protocol.payoffs import HostOutcomes
 from roselink.protocol.records import record
 
 
 @record(16)
 @dataclass(frozen=True, slots=True)
 class Pull:
-    """A gateway's question for what it misses; also the sign that it lives. `serving`: it may hold roles."""
+    """A gateway's question for what it misses; also the sign that it lives. `serving`: it may hold roles.
+    `outcomes`: what it saw of hosts since the pull before; lost with a pull that fails."""
 
     member: Member
     vector: VersionVector
     serving: bool
+    outcomes: tuple[HostOutcomes, ...] = ()
 
 
 @record(17)
@@ -31,7 +34,7 @@
 
     `configuration` is the operator's document as sent (JSON). `cores` are the peer addresses ("ip:port") of
     the core's members, for the next pulls. With `confirmed` false nothing else counts, and the gateway asks
-    another member.
+    another member. `payoffs` is an encoded `PooledPayoffs`, or empty: made once for all gateways.
     """
 
     confirmed: bool
@@ -40,3 +43,4 @@
     hosts: tuple[Host, ...] | None
     roster: tuple[Member, ...] | None
     cores: tuple[str, ...]
+    payoffs: bytes = b""
--- a/roselink/protocol/records.py
+++ b/roselink/protocol/records.py
@@ -63,6 +63,11 @@
     return _numbers[type(message)]
 
 
+def number_of_type(message: type[Any]) -> int:
+    """The same for a class."""
+    return _numbers[message]
+
+
 def encode(message: object) -> bytes:
     """The message's fields as bytes; its number goes beside them."""
     packed = bytearray()
--- a/roselink/router/app.py
+++ b/roselink/router/app.py
@@ -19,6 +19,7 @@
 from roselink.membership.budget_service import BudgetService
 from roselink.model.fleet import Member
 from roselink.model.settings import DEFAULT_PATH, ENVIRONMENT_VARIABLE, ProcessSettings
+from roselink.protocol.payoffs import HostOutcomes
 from roselink.protocol.peers import Address, PeerPool, PeerServer, Reply
 from roselink.router.parts import DataPlane
 
@@ -60,6 +61,10 @@
     seed = int.from_bytes(os.urandom(8), "big")
     decider = make_decider(settings.zone, seed, thresholds.retry_budget_ratio, thresholds.retry_window_s)
     data_plane = make_data_plane(settings, loop, decider, control.puller, control.budgets, control.budgets)
+    control.puller.share_payoffs(
+        lambda: tuple(HostOutcomes(*outcome) for outcome in decider.untold_outcomes()),
+        lambda told: data_plane.pool_payoffs(told.hosts),
+    )
     await data_plane.start()
     control.puller.set_serving(True)
     loop.add_signal_handler(signal.SIGHUP, control.puller.reload)
--- a/roselink/routing/decisions.py
+++ b/roselink/routing/decisions.py
@@ -108,8 +108,17 @@
     tag: int
 
 
+@dataclass(frozen=True, slots=True)
+class PooledPayoffs:
+    """Event: payoffs of hosts over all gateways, 0 to 1, by id; of the others nothing bad is known. They hold
+    until the next such event, and for a time of the decider's own."""
+
+    hosts: tuple[tuple[str, float], ...]
+
+
 Event = (
     TopologyChanged | RequestArrived | BudgetDecided | FirstEvent | AttemptEnded | RequestClosed | TimerFired
+    | PooledPayoffs
 )
 
 
--- a/roselink/routing/fleet.py
+++ b/roselink/routing/fleet.py
@@ -21,7 +21,7 @@
 from roselink.routing.learning import Learner
 from roselink.routing.policy import EffectivePolicy, RouteTable
 from roselink.routing.request_state import Attempt, Request, Stage
-from roselink.routing.timers import Due, Entry, Timers
+from roselink.routing.timers import Due, Entry, Timers, is_over
 from roselink.routing.topology import Topology
 
 HELD_PART = 0.2  # part of its aim that a request may wait for a host
@@ -51,10 +51,11 @@
     def handle(self, now: float, event: d.Event) -> list[d.Action]:
         """Take one event; `now` in seconds, never falling. What comes for a finished request is ignored."""
         self._now, self._actions = now, []
+        self._topology.forget_pooled(now)
         _HANDLERS[type(event)](self, event)  # before due times: they must not use what it takes away
         while (entry := self._timers.pop_due(now)) is not None:
             self._come_due(entry)
-        timer = self._timers.rearm(_is_over)
+        timer = self._timers.rearm(is_over)
         if timer is not None:
             self._actions.append(timer)
         return self._actions
@@ -124,6 +125,13 @@
     def _timer_fired(self, event: d.TimerFired) -> None:
         self._timers.fired(event.tag)
 
+    def _pool_payoffs(self, event: d.PooledPayoffs) -> None:
+        self._topology.pool_payoffs(event, self._now)
+
+    def untold_outcomes(self) -> list[tuple[str, int, int]]:
+        """For the other gateways: hosts with outcomes since the last call, how many in time, how many not."""
+        return self._topology.untold()
+
     # --- due times
 
     def _come_due(self, entry: Entry) -> None:
@@ -280,13 +288,6 @@
         return known
 
 
-def _is_over(entry: Entry) -> bool:
-    _, _, due, request, number = entry
-    if due is Due.OVERDUE:
-        return request.attempts[number].outcome is not None or request.attempts[number].started
-    return request.closed
-
-
 _HANDLERS: dict[type, Callable[[FleetDecider, Any], None]] = {
     d.TopologyChanged: FleetDecider._topology_changed,
     d.RequestArrived: FleetDecider._arrived,
@@ -295,4 +296,5 @@
     d.AttemptEnded: FleetDecider._attempt_ended,
     d.RequestClosed: FleetDecider._request_closed,
     d.TimerFired: FleetDecider._timer_fired,
+    d.PooledPayoffs: FleetDecider._pool_payoffs,
 }
--- a/roselink/routing/host_choice.py
+++ b/roselink/routing/host_choice.py
@@ -1,6 +1,7 @@
 """Host choice: of two drawn hosts the one with the higher discounted payoff, one time in twenty the other.
 
-Payoff / (1 + own requests in flight there). Where the route has affinity, prompt tokens are counted as
+Payoff / (1 + own requests in flight there), where the payoff is this gateway's own times the one over all
+gateways. Where the route has affinity, prompt tokens are counted as
 requests, see `affinity`; where it has none, hosts of the own zone have a slight advantage.
 """
 
@@ -52,12 +53,12 @@
     def score(self, host: HostState) -> float:
         """The design's discounted payoff."""
         near = 1.0 if host.spec.zone == self._zone else FOREIGN
-        return near * host.payoff / (1.0 + host.in_flight)
+        return near * host.expected() / (1.0 + host.in_flight)
 
     def _affine_score(self, host: HostState, home: bool, shared: tuple[PromptPart, ...], now: float) -> float:
         to_read = self._memory.to_read(host.spec.id, shared, home, now)
         load = host.weight() * host.in_flight + (host.reading + to_read) / REQUEST_TOKENS
-        return host.payoff / (1.0 + load)
+        return host.expected() / (1.0 + load)
 
     def _ranked_pair(
         self, pool: Pool, shared: tuple[PromptPart, ...], tried: Collection[HostState], now: float
--- a/roselink/routing/host_state.py
+++ b/roselink/routing/host_state.py
@@ -22,6 +22,9 @@
     spec: Host
     limit: float
     payoff: float = UNKNOWN
+    pooled: float = 1.0  # payoff over all gateways; 1 where nothing speaks against it
+    served_untold: int = 0  # outcomes that the other gateways have not been told of
+    missed_untold: int = 0
     in_flight: int = 0
     reading: int = 0
     heard_at: float = field(default=float("-inf"))
@@ -50,6 +53,14 @@
     def credit(self, worth: float) -> None:
         """Learn from one outcome: 1 if served within the aim, else 0."""
         self.payoff += (worth - self.payoff) * SMOOTH
+        if worth > 0:
+            self.served_untold += 1
+        else:
+            self.missed_untold += 1
+
+    def expected(self) -> float:
+        """The payoff by which it is compared."""
+        return self.payoff * self.pooled
 
     def alive(self, now: float) -> None:
         """A first event or an answer came from it."""
--- a/roselink/routing/timers.py
+++ b/roselink/routing/timers.py
@@ -23,6 +23,14 @@
 Entry = tuple[float, int, Due, Request, int]
 
 
+def is_over(entry: Entry) -> bool:
+    """Whether nothing is left to do at that time."""
+    _, _, due, request, number = entry
+    if due is Due.OVERDUE:
+        return request.attempts[number].outcome is not None or request.attempts[number].started
+    return request.closed
+
+
 class Timers:
     """Due times in order. An entry whose request is over is dropped without a wake-up."""
 
--- a/roselink/routing/topology.py
+++ b/roselink/routing/topology.py
@@ -4,10 +4,12 @@
 
 from roselink.model.fleet import Host
 from roselink.model.fleet import HostState as ListedState
-from roselink.routing.decisions import TopologyChanged
+from roselink.routing.decisions import PooledPayoffs, TopologyChanged
 from roselink.routing.host_state import HostState, fresh_state
 from roselink.routing.pool import Pool
 
+POOLED_S = 2.0  # payoffs over all gateways hold for so long
+
 
 class Topology:
     """One pool of ready hosts for each service. Draining hosts are remembered, and in no pool."""
@@ -15,6 +17,7 @@
     def __init__(self) -> None:
         self._hosts: dict[str, HostState] = {}
         self._pools: dict[str, Pool] = {}
+        self._pooled_until = float("inf")
 
     def pool(self, service: str) -> Pool:
         """The hosts of a service; an empty pool for one that nobody told of."""
@@ -34,6 +37,27 @@
         for service, members in ready.items():
             self.pool(service).replace(members)
 
+    def pool_payoffs(self, event: PooledPayoffs, now: float) -> None:
+        """Take over the payoffs over all gateways; hosts not named have the best."""
+        payoffs = dict(event.hosts)
+        self._pooled_until = now + POOLED_S if payoffs else float("inf")
+        for name, host in self._hosts.items():
+            host.pooled = payoffs.get(name, 1.0)
+
+    def forget_pooled(self, now: float) -> None:
+        """Payoffs over all gateways end when they are not told anew."""
+        if now > self._pooled_until:
+            self.pool_payoffs(PooledPayoffs(()), now)
+
+    def untold(self) -> list[tuple[str, int, int]]:
+        """Hosts with outcomes since the last call: id, served within the aim, missed."""
+        told = []
+        for name, host in self._hosts.items():
+            if host.served_untold or host.missed_untold:
+                told.append((name, host.served_untold, host.missed_untold))
+                host.served_untold = host.missed_untold = 0
+        return told
+
     def _known(self, spec: Host) -> HostState:
         known = self._hosts.get(spec.id)
         if known is None or known.spec.service != spec.service:
--- /dev/null
+++ b/tests/control/test_payoffs.py
@@ -0,0 +1,86 @@
+"""Payoffs pooled over gateways: what counts, how long, and who is told."""
+
+from __future__ import annotations
+
+import pytest
+
+from roselink.control.payoffs import MOST_HOSTS, PUBLISH_S, PayoffPool
+from roselink.control.pulls import PullDesk
+from roselink.protocol.payoffs import HostOutcomes, PooledPayoffs
+from roselink.protocol.pull import Pull
+from roselink.protocol.records import decode, encode, number_of, number_of_type
+from tests.control.test_pulls import CORES, EPOCH, TAIL, TIMES, Tail, member, pull
+
+
+def told(data: bytes) -> dict[str, int]:
+    if not data:
+        return {}
+    pooled = decode(number_of_type(PooledPayoffs), data)
+    return {entry.host: entry.percent for entry in pooled.hosts}
+
+
+@pytest.mark.parametrize(
+    ("served", "missed", "after_s", "percent"),
+    [
+        (10, 0, 0.0, None),
+        (0, 1, 0.0, 50),  # one outcome is a doubt
+        (0, 12, 0.0, 10),
+        (0, 500, 0.0, 10),  # no more than a bounded number of outcomes is remembered
+        (7, 5, 0.0, 60),
+        (11, 1, 0.0, None),
+        (0, 12, 4.0, 25),  # evidence ages
+        (0, 12, 12.0, None),
+        (-5, -5, 0.0, None),
+    ],
+)
+def test_what_outcomes_come_to(served: int, missed: int, after_s: float, percent: int | None) -> None:
+    pool = PayoffPool()
+    pool.heard(1.0, [HostOutcomes("h", served, missed)])
+    assert told(pool.told(1.0 + after_s)).get("h") == percent
+
+
+def test_single_misses_of_many_gateways_add_up_and_a_recovered_host_is_believed() -> None:
+    pool = PayoffPool()
+    for gateway in range(10):
+        pool.heard(0.01 * gateway, [HostOutcomes("h", 0, 1), HostOutcomes("well", 1, 0)])
+    assert told(pool.told(0.1)) == {"h": 10}
+    for gateway in range(30):
+        pool.heard(1.0 + 0.01 * gateway, [HostOutcomes("h", 1, 0)])
+    assert told(pool.told(1.3)) == {}
+
+
+def test_what_is_told_is_summed_now_and_then() -> None:
+    pool = PayoffPool()
+    assert pool.told(1.0) == b""
+    pool.heard(1.0, [HostOutcomes("h", 0, 9)])
+    assert pool.told(1.0 + PUBLISH_S / 2) == b""
+    assert told(pool.told(1.0 + PUBLISH_S)) == {"h": 10}
+
+
+def test_hosts_are_bounded_and_forgotten() -> None:
+    pool = PayoffPool()
+    pool.heard(0.0, [HostOutcomes(f"h{number}", 0, 1) for number in range(MOST_HOSTS + 10)])
+    assert len(told(pool.told(0.0))) == MOST_HOSTS
+    assert pool.told(60.0) == b""
+    assert not pool._hosts
+
+
+def test_the_tail_pools_what_pulls_bring_and_a_new_view_begins_anew() -> None:
+    tail = Tail()
+    tail.ask(Pull(member("a"), pull().vector, True, (HostOutcomes("h", 0, 3),)))
+    tail.now += PUBLISH_S
+    assert told(tail.ask(pull("b")).payoffs) == {"h": 25}
+    tail.desk.view_changed(tail.now, EPOCH + 1, True, TAIL, CORES)
+    assert tail.ask(pull("b")).payoffs == b""
+
+
+def test_only_the_tail_counts_outcomes() -> None:
+    desk = PullDesk(TIMES)
+    desk.view_changed(0.0, EPOCH, False, TAIL, CORES)
+    desk.pull(0.1, 1, Pull(member("a"), pull().vector, True, (HostOutcomes("h", 0, 3),)))
+    assert desk._payoffs.told(1.0) == b""
+
+
+def test_outcomes_survive_the_wire() -> None:
+    sent = Pull(member("a"), pull().vector, True, (HostOutcomes("h", 4, 3),))
+    assert decode(number_of(sent), encode(sent)) == sent
