--- a/roselink/dataplane/plane.py
+++ b/roselink/dataplane/plane.py
@@ -72,7 +72,14 @@
         return 0 if address is None else await server.listen(*address)
 
     def _refresh(self, snapshot: Snapshot) -> None:
+        known, hosts = self.engine.table is not None, self.engine.directory.any_ready()
         self.engine.refresh()
+        if not known or hosts != self.engine.directory.any_ready():
+            log.info(
+                "configuration_in_force generation=%d hosts=%d",
+                snapshot.configuration.generation,
+                len(snapshot.hosts),
+            )
         if self.engine.table is not None:
             self.server.limit(self.engine.table.configuration.limits)
 
@@ -88,7 +95,7 @@
             self.readiness.sweep()
             self.upstream.sweep()
         except Exception:  # one connection's fault must not end the care for all others
-            log.exception("a sweep failed")
+            log.exception("sweep_failed")
 
     # The end.
 
--- a/roselink/dataplane/server.py
+++ b/roselink/dataplane/server.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from roselink.dataplane.admission import NOT_CONFIRMED_RETRY_S
+from roselink.dataplane.arrivals import Arrival
 from roselink.dataplane.engine import Engine
 from roselink.dataplane.exchange import Exchange
 from roselink.dataplane.requests import Headers, ProxyRequest, read_request
@@ -31,7 +32,7 @@
     def __init__(self, server: DataServer) -> None:
         super().__init__(server)
         self._owner = server
-        self._exchange: Exchange | None = None
+        self._exchange: Exchange | Arrival | None = None
         self._version = "1.1"
         self._head_only = self._chunked = self._kept = False
         self._unwritten = b""
@@ -62,7 +63,7 @@
         self._serving, self._keep = True, pending.keep
         request = pending.request
         if not isinstance(request, ProxyRequest):
-            log.info("%d: %s", pending.status, pending.why)
+            log.info("request_invalid status=%d why=%s", pending.status, pending.why)
             self._head_only, self._version = False, "1.1"
             self.own(pending.status)
             return
@@ -73,7 +74,7 @@
         try:
             exchange = self._owner.engine.accept(request, self)
         except Exception:
-            log.exception("a request failed")
+            log.exception("request_failed")
             if self._serving:
                 self.own(500)
             return
@@ -185,7 +186,8 @@
         return DataConnection(self)
 
     def crowded(self) -> bool:
-        return super().crowded() or self.engine.body_bytes > BODIES_LIMIT
+        held = self.engine.body_bytes + self.engine.arrivals.body_bytes
+        return super().crowded() or held > BODIES_LIMIT
 
 
 def _sizes(head: int, body: int) -> Sizes:
--- a/roselink/distribution/pull.py
+++ b/roselink/distribution/pull.py
@@ -13,10 +13,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from roselink.distribution.host_changes import completed
 from roselink.model.configuration import Configuration, Limits
 from roselink.model.fleet import Member, Snapshot, VersionVector
 from roselink.protocol.payoffs import HostOutcomes, PooledPayoffs
-from roselink.protocol.pull import Pull, PullReply
+from roselink.protocol.pull import ChangesReply, Pull, PullReply
 from roselink.protocol.records import RecordError, decode, number_of_type
 
 Address = tuple[str, int]
@@ -24,13 +25,15 @@
 PULL_EVERY_S = 0.2
 JITTER = 0.2  # of PULL_EVERY_S, either way
 TIMEOUT_S = 0.3
-TIMEOUT_GROWTH = 1.5  # a time-out after a failure is longer by this, for a core that is slow, not dead
+TIMEOUT_GROWTH = 1.5  # after each round of failures: the core may be slow, not dead
 TIMEOUT_MOST_S = 1.0
+BARE_FIRST_S = 0.03  # between pulls that brought no list of hosts; it grows to the ordinary pause
 BACKOFF_FIRST_S = 0.05  # after every known member failed once
 BACKOFF_GROWTH = 1.5
 BACKOFF_MOST_S = 0.25
 SOONEST_AGAIN_S = 0.05  # between pulls that others asked for
 KEY_MARGIN_S = 0.2
+HINTS_MOST = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +100,7 @@
         self._timeout_s = TIMEOUT_S
         self._backoff_s = BACKOFF_FIRST_S
         self._payoffs: tuple[bytes, tuple[tuple[str, float], ...]] = b"", ()
+        self._bare_s = BARE_FIRST_S
         self.use_seeds(seeds)
 
     @property
@@ -109,13 +113,18 @@
         self._seeds = tuple(dict.fromkeys(seeds))
         self._arrange()
 
-    def use_hints(self, cores: Iterable[Address]) -> None:
-        """Addresses of core members that other gateways know of."""
-        hints = tuple(dict.fromkeys(cores))
+    def use_hints(self, cores: Iterable[str]) -> None:
+        """Addresses ("ip:port") that someone has heard of; tried after the core's own list."""
+        hints = tuple(dict.fromkeys((*_addresses(cores), *self._hints)))[:HINTS_MOST]
         if set(hints) != set(self._hints):
             self._hints = hints
             self._arrange()
 
+    @property
+    def cores(self) -> tuple[Address, ...]:
+        """The core's members, as a confirmed reply named them last."""
+        return self._cores
+
     def wake(self, now: float) -> list[Effect]:
         """The time `due_at` has come, perhaps."""
         if self._open is not None or now < self.due_at or not self._order:
@@ -129,14 +138,18 @@
         """Something newer exists: pull soon."""
         self.due_at = min(self.due_at, now + SOONEST_AGAIN_S)
 
-    def answered(self, call: int, reply: PullReply | None, now: float) -> list[Effect]:
-        """The outcome of a call: the reply, or None."""
+    def answered(self, call: int, reply: PullReply | ChangesReply | None, now: float) -> list[Effect]:
+        """The outcome of a call: the reply, or None. A reply whose hosts can't be read counts as none."""
         if self._open is None or self._open[0] != call:
             return []
         sent_at = self._open[1]
         self._open = None
+        if isinstance(reply, ChangesReply):
+            reply = completed(reply, self._vector.hosts, self._parts.hosts)
         if reply is None or not reply.confirmed:
             self._failed(now)
+            if reply is not None:
+                self.use_hints(reply.cores)
             return []
         effects = self._take(reply, sent_at)
         if not any(isinstance(effect, Confirmed) for effect in effects):
@@ -145,9 +158,17 @@
         self._failures, self._timeout_s, self._backoff_s = 0, TIMEOUT_S, BACKOFF_FIRST_S
         self._learn(reply.cores)
         effects += self._take_payoffs(reply.payoffs)
-        self.due_at = now + PULL_EVERY_S * (1 + JITTER * (2 * self._chance.random() - 1))
+        self.due_at = now + self._pause_s() * (1 + JITTER * (2 * self._chance.random() - 1))
         return effects
 
+    def _pause_s(self) -> float:
+        """Until the next pull. Without any list of hosts nothing goes on here: the core will have one soon,
+        or not for long."""
+        if self._vector.hosts:
+            return PULL_EVERY_S
+        self._bare_s = min(PULL_EVERY_S, self._bare_s * BACKOFF_GROWTH)
+        return self._bare_s
+
     def may_use_keys(self, now: float, revoke_s: float, strict: bool) -> bool:
         """Whether a request with a key may be sent to a host now."""
         if self.snapshot is None:
@@ -160,16 +181,16 @@
         """The next member at once; after each round of all, a growing wait."""
         self._order.append(self._order.pop(0))
         self._failures += 1
-        self._timeout_s = min(TIMEOUT_MOST_S, self._timeout_s * TIMEOUT_GROWTH)
         if self._failures % len(self._order):
             self.due_at = now
             return
         self.due_at = now + self._backoff_s * (1 + JITTER * (2 * self._chance.random() - 1))
+        self._timeout_s = min(TIMEOUT_MOST_S, self._timeout_s * TIMEOUT_GROWTH)
         self._backoff_s = min(BACKOFF_MOST_S, self._backoff_s * BACKOFF_GROWTH)
 
     def _learn(self, cores: Iterable[str]) -> None:
         """An empty list says nothing new."""
-        known = tuple(dict.fromkeys(address for text in cores if (address := _address(text)) is not None))
+        known = tuple(dict.fromkeys(_addresses(cores)))
         if known and set(known) != set(self._cores):
             self._cores = known
             self._arrange()
@@ -229,6 +250,7 @@
     return tuple((entry.host, min(1.0, max(0.0, entry.percent / 100))) for entry in pooled.hosts)
 
 
-def _address(text: str) -> Address | None:
-    host, _, port = text.rpartition(":")
-    return (host, int(port)) if host and port.isascii() and port.isdigit() else None
+def _addresses(texts: Iterable[str]) -> list[Address]:
+    """Those that can be read."""
+    parts = [text.rpartition(":") for text in texts]
+    return [(host, int(port)) for host, _, port in parts if host and port.isascii() and port.isdigit()]
--- a/roselink/distribution/puller.py
+++ b/roselink/distribution/puller.py
@@ -7,7 +7,7 @@
 import os
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from roselink.distribution.pull import Apply, Confirmed, Effect, Payoffs, PullMachine, SendPull, Unreadable
@@ -15,10 +15,11 @@
 from roselink.model.settings import ProcessSettings, SettingsError, load_settings
 from roselink.protocol.payoffs import HostOutcomes
 from roselink.protocol.peers import PeerPool
-from roselink.protocol.pull import PullReply
+from roselink.protocol.pull import ChangesPull, ChangesReply, PullReply
 
 log = logging.getLogger("roselink.distribution")
 
+EPOCH_SPAN = 1 << 32  # versions of hosts and roster are epoch and counter (`VersionVector`)
 SETTINGS_CHECK_S = 1.0  # the file may change without a signal
 Clock = Callable[[], float]
 Stamp = tuple[int, int, int]
@@ -85,6 +86,14 @@
         """Report `outcomes()` with each pull, and call `told` with what all gateways' reports come to."""
         self._machine.outcomes, self._on_payoffs = outcomes, told
 
+    def cores(self) -> tuple[str, ...]:
+        """The core's members ("ip:port"), as a confirmed reply named them last."""
+        return tuple(f"{host}:{port}" for host, port in self._machine.cores)
+
+    def hear_cores(self, cores: Iterable[str]) -> None:
+        """Addresses of core members that a peer knows of."""
+        self._machine.use_hints(cores)
+
     def set_serving(self, serving: bool) -> None:
         """Whether this gateway may hold roles, from the next pull on, which comes soon."""
         if serving != self._machine.serving:
@@ -102,7 +111,7 @@
         try:
             settings = load_settings(self._path)
         except SettingsError as error:
-            log.warning("the old settings stand: %s", error)
+            log.warning("settings_unusable faults=%s", error)
             return
         self._machine.use_seeds(settings.seed_peers())
         self.hurry()
@@ -134,15 +143,22 @@
 
     def _answered(self, call: int, answer: object) -> None:
         if not self._stopped:
-            reply = answer if isinstance(answer, PullReply) else None
+            reply = answer if isinstance(answer, PullReply | ChangesReply) else None
             self._perform(self._machine.answered(call, reply, self._clock()))
 
     def _perform(self, effects: list[Effect]) -> None:
         for effect in effects:
             match effect:
                 case SendPull(call, address, pull, timeout_s):
-                    self._pool.call(address, pull, timeout_s, partial(self._answered, call))
+                    self._pool.call(address, ChangesPull(pull), timeout_s, partial(self._answered, call))
                 case Apply(snapshot):
+                    held = snapshot.vector
+                    log.info(
+                        "in_force configuration=%d hosts=%d:%d roster=%d:%d",
+                        held.configuration,
+                        *divmod(held.hosts, EPOCH_SPAN),
+                        *divmod(held.roster, EPOCH_SPAN),
+                    )
                     self._tell(snapshot)
                 case Confirmed(at):
                     for confirmed in self._on_confirmed:
@@ -151,7 +167,7 @@
                     if self._on_payoffs is not None:
                         self._on_payoffs(effect)
                 case Unreadable(version, why):
-                    log.error("configuration at %d can't be read: %s", version, why)
+                    log.error("configuration_unreadable version=%d why=%s", version, why)
         self._schedule()
 
     def _tell(self, snapshot: Snapshot) -> None:
@@ -159,4 +175,4 @@
             try:
                 callback(snapshot)
             except Exception:  # one reader's fault must not keep the others, or the pulls, from going on
-                log.exception("a snapshot was not taken over")
+                log.exception("snapshot_failed")
--- a/roselink/membership/quota_client.py
+++ b/roselink/membership/quota_client.py
@@ -1,17 +1,17 @@
 """The asker's side of quotas: requests wait for the owner's decision, together, for a bounded time.
 
 One ask a tenant is under way; what arrives meanwhile goes with the next. A gateway that had use lately is
-heard by the owner every `SIGN_OF_LIFE_S`. Without an owner in reach requests are decided here: at this
-gateway's own recent rate for `ALONE_S`, while the owner that knew it holds as much back (`ledger`), and
-otherwise within a fixed part of the rule's allowance, shared out by recent use.
+heard by the owner every `SIGN_OF_LIFE_S`. Without an owner in reach requests are decided here (`alone`).
 """
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from roselink.membership.alone import Alone
+from roselink.membership.due_times import NEVER, DueTimes
 from roselink.membership.repeats import RefreshRoster
 from roselink.membership.roles import Roles
 from roselink.membership.usage import LOCAL_PART, NEWCOMER_PART, Limit, QuotaRule, Usage
@@ -27,8 +27,6 @@
 SIGN_OF_LIFE_S = 0.4
 LEASE_S = 0.3
 AHEAD_S = 0.25  # of recent use is asked for ahead, where that is a request's worth
-ALONE_S = 2.0
-ALONE_BURST_S = 1.0
 RETRY_ALONE_S = 0.3
 
 
@@ -61,17 +59,6 @@
     until: float
 
 
-@dataclass(slots=True)
-class _Alone:
-    """A stretch of time without an owner in reach. `backed`: the owner holds our recent rate back."""
-
-    since: float
-    rate: float
-    level: float
-    at: float
-    backed: bool
-
-
 @dataclass(slots=True)
 class _Open:
     """The ask under way."""
@@ -86,17 +73,15 @@
 class _Tenant:
     limit: Limit
     used: Usage
-    backed: Usage  # admitted here while an owner held as much back
-    unbacked: Usage  # admitted here with nobody holding back for it
+    alone: Alone
     waiting: deque[_Waiting] = field(default_factory=deque)
     open: _Open | None = None
     asked_at: float = float("-inf")
     not_before: float = 0.0
     failures: int = 0
     told: int = 0  # the token under which the owner has our report
-    alone: _Alone | None = None
     unknown: float = 0.0  # admitted here since an owner last answered
-    known: tuple[int, float, float] | None = None  # an owner's term, its bucket's level, and when we heard it
+    known: tuple[Level, float] | None = None  # an owner's level, and when we heard it
     lease: float = 0.0
     lease_until: float = 0.0
     returned: float = 0.0
@@ -111,6 +96,7 @@
         self.leaving = False
         self._roles, self._rule = roles, rule
         self._tenants: dict[str, _Tenant] = {}
+        self._due_times = DueTimes()
         self._calls: dict[int, str] = {}
         self._last_call = 0
 
@@ -123,12 +109,13 @@
                 self._tenants[name].limit = limit
                 continue
             gone = self._tenants.pop(name)
+            self._due_times.put(name, NEVER)
             asked = gone.open.asked if gone.open is not None else []
             effects += [QuotaDecided(entry.number, True, 0.0) for entry in [*asked, *gone.waiting]]
         for name, limit in limits.items():
             if limit.rate_per_s > 0 and name not in self._tenants:
                 window_s = self._rule.window_s
-                self._tenants[name] = _Tenant(limit, Usage(window_s), Usage(window_s), Usage(window_s))
+                self._tenants[name] = _Tenant(limit, Usage(window_s), Alone(window_s))
         return effects
 
     def admit(self, number: int, tenant: str, amount: float, now: float) -> list[Effect]:
@@ -136,6 +123,11 @@
         state = self._tenants.get(tenant)
         if state is None:
             return [QuotaDecided(number, True, 0.0)]
+        effects = self._admit(number, tenant, state, amount, now)
+        self._plan(tenant, state, now)
+        return effects
+
+    def _admit(self, number: int, tenant: str, state: _Tenant, amount: float, now: float) -> list[Effect]:
         state.typical += 0.1 * (amount - state.typical) if state.typical else amount
         self._end_lease(state, now)
         if not state.waiting and state.lease >= amount > 0:
@@ -143,7 +135,7 @@
             state.used.add(now, amount)
             return [QuotaDecided(number, True, 0.0)]
         entry = _Waiting(number, amount, now + WAIT_MOST_S)
-        if state.alone is not None:
+        if state.alone.under_way:
             return [self._decide_alone(state, entry, now), *self._pump(tenant, state, now)]
         state.waiting.append(entry)
         return self._pump(tenant, state, now)
@@ -154,6 +146,7 @@
         if state is not None:
             state.used.add(now, -amount)
             state.returned += amount
+            self._plan(tenant, state, now)
 
     def answered(self, call: int, answer: QuotaAnswer | None, now: float) -> list[Effect]:
         """The outcome of an ask: the owner's answer, or None."""
@@ -161,7 +154,14 @@
         state = self._tenants.get(tenant)
         if state is None or state.open is None or state.open.call != call:
             return []
-        ended, state.open = state.open, None
+        effects = self._answered(tenant, state, state.open, answer, now)
+        self._plan(tenant, state, now)
+        return effects
+
+    def _answered(
+        self, tenant: str, state: _Tenant, ended: _Open, answer: QuotaAnswer | None, now: float
+    ) -> list[Effect]:
+        state.open = None
         if answer is not None and answer.verdict is Verdict.DECIDED:
             return self._decided(state, ended, answer, now) + self._pump(tenant, state, now)
         state.waiting.extendleft(reversed(ended.asked))
@@ -181,28 +181,37 @@
     def wake(self, now: float) -> list[Effect]:
         """Time has passed: what waited too long is decided here, and due asks go out."""
         effects: list[Effect] = []
-        for tenant, state in self._tenants.items():
+        for tenant in self._due_times.due(now):
+            state = self._tenants[tenant]
             if state.waiting and state.waiting[0].until <= now:
                 effects += self._go_alone(state, now)
             self._end_lease(state, now)
             effects += self._pump(tenant, state, now)
+            self._plan(tenant, state, now)
         return effects
 
     def due_at(self, now: float) -> float:
-        """When `wake` is due next, if nothing else happens; infinity for never."""
-        return min((self._due(state, now) for state in self._tenants.values()), default=float("inf"))
+        """When `wake` is due next after `now`, or at once; infinity for never."""
+        due = self._due_times.first()
+        return max(now, due)
+
+    def _plan(self, tenant: str, state: _Tenant, now: float) -> None:
+        """Note when a tenant is due, after any change to its state; what is noted is never too late."""
+        self._due_times.put(tenant, self._due(state, now))
 
     def _due(self, state: _Tenant, now: float) -> float:
-        due = state.waiting[0].until if state.waiting else float("inf")
+        due = state.waiting[0].until if state.waiting else NEVER
         if state.open is None:
             if state.waiting:
                 due = min(due, state.not_before)
             elif state.returned or state.lease or abs(state.used.total(now)) > 0:
                 due = min(due, max(state.not_before, self._next_sign(state)))
+            else:  # what was given back may outweigh what is left of the use, once some of it is old
+                due = min(due, max(state.not_before, self._next_sign(state), state.used.leaves_at()))
         return due
 
     def _next_sign(self, state: _Tenant) -> float:
-        return state.asked_at + (PROBE_S if state.alone is not None else SIGN_OF_LIFE_S)
+        return state.asked_at + (PROBE_S if state.alone.under_way else SIGN_OF_LIFE_S)
 
     def _pump(self, tenant: str, state: _Tenant, now: float) -> list[Effect]:
         """The next ask, if one is due and none is under way."""
@@ -230,11 +239,11 @@
         assert state.open is not None
         asked = state.open.asked
         report, known = None, None
-        if state.told != token or state.alone is not None:
+        if state.told != token or state.alone.under_way:
             report = state.used.report(now)
             if state.known is not None:
-                term, level, at = state.known
-                known = Level(term, level, int((now - at) * 1000))
+                heard, at = state.known
+                known = replace(heard, age_ms=int((now - at) * 1000))
         returned, state.returned = state.returned, 0.0
         return QuotaAsk(
             tenant,
@@ -255,9 +264,10 @@
         return wanted if wanted >= state.typical else 0.0
 
     def _decided(self, state: _Tenant, ended: _Open, answer: QuotaAnswer, now: float) -> list[Effect]:
-        state.alone, state.failures, state.told, state.share = None, 0, answer.token, answer.share
+        state.alone.end()
+        state.failures, state.told, state.share = 0, answer.token, answer.share
         state.unknown -= ended.unknown
-        state.known = answer.term, answer.level, now
+        state.known = Level(answer.term, answer.level, answer.used, 0), now
         effects: list[Effect] = []
         for entry, admitted in zip(ended.asked, answer.admitted, strict=False):
             if admitted:
@@ -275,38 +285,17 @@
             state.lease = 0.0
 
     def _go_alone(self, state: _Tenant, now: float) -> list[Effect]:
-        if state.alone is None:
+        if not state.alone.under_way:
             rate = max(0.0, state.used.total(now)) / self._rule.window_s
-            backed = state.told != 0 and not self.leaving
-            state.alone = _Alone(now, rate, rate * ALONE_BURST_S, now, backed)
+            state.alone.begin(rate, state.told != 0 and not self.leaving, now)
         waiting, state.waiting = state.waiting, deque()
         return [self._decide_alone(state, entry, now) for entry in waiting]
 
     def _decide_alone(self, state: _Tenant, entry: _Waiting, now: float) -> QuotaDecided:
-        alone = state.alone
-        assert alone is not None
-        alone.level = min(alone.rate * ALONE_BURST_S, alone.level + alone.rate * max(0.0, now - alone.at))
-        alone.at = max(alone.at, now)
-        if self._is_backed(state, alone, now):
-            alone.level -= entry.amount
-            state.backed.add(now, entry.amount)
-        elif not self._unbacked(state, entry.amount, now):
+        part = max(state.share * LOCAL_PART, NEWCOMER_PART / self._roles.size)
+        most = part * self._rule.allowance(state.limit)
+        if not state.alone.admit(entry.amount, most, now):
             return QuotaDecided(entry.number, False, RETRY_ALONE_S)
         state.used.add(now, entry.amount)
         state.unknown += entry.amount
         return QuotaDecided(entry.number, True, 0.0)
-
-    def _is_backed(self, state: _Tenant, alone: _Alone, now: float) -> bool:
-        """Whether this gateway's recent rate leaves room; in any window for `ALONE_S` in all."""
-        if not alone.backed or alone.level <= 0 or now - alone.since >= ALONE_S:
-            return False
-        return self._roles.fresh(now) and state.backed.total(now) < alone.rate * ALONE_S
-
-    def _unbacked(self, state: _Tenant, amount: float, now: float) -> bool:
-        """Whether an amount fits into this gateway's part of the allowance; counts it then."""
-        allowance = self._rule.allowance(state.limit)
-        most = max(state.share * LOCAL_PART, NEWCOMER_PART / self._roles.size) * allowance
-        if state.unbacked.total(now) + amount > most:
-            return False
-        state.unbacked.add(now, amount)
-        return True
--- a/roselink/protocol/payoffs.py
+++ b/roselink/protocol/payoffs.py
@@ -11,7 +11,7 @@
 from roselink.protocol.records import record
 
 
-@record(18)
+@record(24)
 @dataclass(frozen=True, slots=True)
 class HostOutcomes:
     """What one gateway saw of a host since it last told: attempts served within the aim, and the others."""
@@ -21,7 +21,7 @@
     missed: int
 
 
-@record(19)
+@record(25)
 @dataclass(frozen=True, slots=True)
 class HostPayoff:
     """A host's payoff over all gateways, in hundredths."""
@@ -30,7 +30,7 @@
     percent: int
 
 
-@record(20)
+@record(26)
 @dataclass(frozen=True, slots=True)
 class PooledPayoffs:
     """The hosts whose payoff has fallen; of all others nothing speaks against them."""
--- a/roselink/router/app.py
+++ b/roselink/router/app.py
@@ -17,11 +17,13 @@
 from roselink.distribution.puller import Puller
 from roselink.gateway.logs import start_log
 from roselink.membership.budget_service import BudgetService
+from roselink.membership.sampler import Sampler
 from roselink.model.fleet import Member
 from roselink.model.settings import DEFAULT_PATH, ENVIRONMENT_VARIABLE, ProcessSettings
 from roselink.protocol.payoffs import HostOutcomes
 from roselink.protocol.peers import Address, PeerPool, PeerServer, Reply
 from roselink.router.parts import DataPlane
+from roselink.router.status_log import StatusLog
 
 log = logging.getLogger("roselink.router")
 
@@ -66,24 +68,27 @@
         lambda told: data_plane.pool_payoffs(told.hosts),
     )
     await data_plane.start()
+    status_log = StatusLog(loop, data_plane.status_line)
+    status_log.start()
     control.puller.set_serving(True)
     loop.add_signal_handler(signal.SIGHUP, control.puller.reload)
     gc.collect()
     gc.freeze()  # what is here at the start stays; collections need not walk it each time
-    log.info("%s started", settings.node_name)
+    log.info("gateway_started node=%s", settings.node_name)
     await stopping.wait()
-    log.info("draining")
+    log.info("gateway_draining")
     data_plane.begin_drain()
     control.budgets.begin_drain()
     control.puller.set_serving(False)
     await data_plane.drained()
+    status_log.stop()
     data_plane.stop()
     control.stop()
-    log.info("drained")
+    log.info("gateway_drained")
 
 
 class Control:
-    """All of a gateway but the data plane: peers, pulls and budgets."""
+    """All of a gateway but the data plane: peers, pulls, budgets and peer sampling."""
 
     def __init__(self, settings: ProcessSettings, settings_path: str) -> None:
         self._listen: Address = (settings.ip, settings.peer_port)
@@ -92,22 +97,30 @@
         self.pool = PeerPool(self._handle)
         self.puller = Puller(settings, settings_path, self.pool, self.member)
         self.budgets = BudgetService(self.member, settings.thresholds, self.pool, self.puller.hurry)
+        self.sampler = Sampler(self.member, self.pool, self.puller.hear_cores, self.puller.hurry)
         self.puller.subscribe(self.budgets.apply)
-        self.puller.subscribe_confirmed(self.budgets.confirm)
+        self.puller.subscribe(self.sampler.apply)
+        self.puller.subscribe_confirmed(self._confirmed)
         self._server = PeerServer(self._handle)
 
     async def start(self) -> None:
         """Listen for peers, and begin to pull. Raises OSError."""
         await self._server.listen(*self._listen)
         self.puller.start()
+        self.sampler.start()
 
     def stop(self) -> None:
         """End all connections and timers."""
         self.puller.stop()
+        self.sampler.stop()
         self.budgets.stop()
         self._server.close()
         self.pool.close()
 
+    def _confirmed(self, at: float) -> None:
+        self.budgets.confirm(at)
+        self.sampler.confirm(at, self.puller.cores())
+
     def _handle(self, peer: Address, message: Any, reply: Reply) -> None:
-        if not self.budgets.handle(message, reply):
-            log.warning("%s sent a %s, which gateways don't take", peer[0], type(message).__name__)
+        if not (self.budgets.handle(message, reply) or self.sampler.handle(message, reply)):
+            log.warning("record_unknown peer=%s record=%s", peer[0], type(message).__name__)
--- a/tests/control/test_payoffs.py
+++ b/tests/control/test_payoffs.py
@@ -5,11 +5,12 @@
 import pytest
 
 from roselink.control.payoffs import MOST_HOSTS, PUBLISH_S, PayoffPool
-from roselink.control.pulls import PullDesk
+from roselink.control.pulls import AnswerChanges, PullDesk
+from roselink.distribution.host_changes import completed
 from roselink.protocol.payoffs import HostOutcomes, PooledPayoffs
 from roselink.protocol.pull import Pull
 from roselink.protocol.records import decode, encode, number_of, number_of_type
-from tests.control.test_pulls import CORES, EPOCH, TAIL, TIMES, Tail, member, pull
+from tests.control.test_pulls import CORES, EPOCH, TAIL, TIMES, Tail, confirmation, member, pull
 
 
 def told(data: bytes) -> dict[str, int]:
@@ -74,6 +75,18 @@
     assert tail.ask(pull("b")).payoffs == b""
 
 
+def test_an_answer_of_changes_brings_payoffs_too_as_far_as_the_gateway() -> None:
+    tail = Tail()
+    tail.ask(Pull(member("a"), pull().vector, True, (HostOutcomes("h", 0, 3),)))
+    tail.now += PUBLISH_S
+    tail.desk.pull(tail.now, 99, pull("b"), changes=True)
+    (answer,) = tail.desk.confirmed(tail.now, 99, confirmation(EPOCH))
+    assert isinstance(answer, AnswerChanges)
+    whole = completed(answer.reply, 0, ())
+    assert whole is not None
+    assert told(whole.payoffs) == {"h": 25}
+
+
 def test_only_the_tail_counts_outcomes() -> None:
     desk = PullDesk(TIMES)
     desk.view_changed(0.0, EPOCH, False, TAIL, CORES)
