--- a/roselink/control/pulls.py
+++ b/roselink/control/pulls.py
@@ -14,6 +14,7 @@
 
 from roselink.control.contract import Address, Confirmation
 from roselink.control.host_versions import HostVersions
+from roselink.control.payoffs import PayoffPool
 from roselink.model.fleet import Host, Member, VersionVector
 from roselink.protocol.pull import ChangesReply, Pull, PullReply
 from roselink.protocol.records import record
@@ -136,6 +137,7 @@
         self._roster: tuple[Member, ...] | None = None
         self._roster_version = 0
         self._hosts = HostVersions()
+        self._payoffs = PayoffPool()
 
     @property
     def versions(self) -> VersionVector:
@@ -153,6 +155,7 @@
         self._epoch, self._is_tail = epoch, is_tail
         self._hosts = HostVersions()
         self._roster, self._roster_version = None, 0
+        self._payoffs = PayoffPool()
         self._collect_until = now + self._times.collect_s
         if not is_tail:
             self._gateways.clear()
@@ -169,6 +172,7 @@
         self._note(now)
         if self._is_tail:
             self._heard(now, pull)
+            self._payoffs.heard(now, pull.outcomes)
             self._waiting[number] = _Waiting(pull, changes)
             return [Confirm(number)]
         if forwarded or self._tail is None:
@@ -199,8 +203,8 @@
             return [self._unconfirmed(number, waiting.changes)]
         self._publish_roster(now)
         if waiting.changes:
-            return [AnswerChanges(number, self._changes_reply(waiting.pull.vector, confirmation))]
-        return [Answer(number, self._reply(waiting.pull.vector, confirmation))]
+            return [AnswerChanges(number, self._changes_reply(now, waiting.pull.vector, confirmation))]
+        return [Answer(number, self._reply(now, waiting.pull.vector, confirmation))]
 
     def hosts_listed(self, now: float, epoch: int, hosts: tuple[Host, ...]) -> list[PullEffect]:
         """A whole list of hosts, read from its first page on in view `epoch`."""
@@ -262,7 +266,7 @@
     def _next_version(self, version: int) -> int:
         return max(version, self._epoch << EPOCH_SHIFT) + 1
 
-    def _reply(self, held: VersionVector, confirmation: Confirmation) -> PullReply:
+    def _reply(self, now: float, held: VersionVector, confirmation: Confirmation) -> PullReply:
         return PullReply(
             confirmed=True,
             vector=self._vector(confirmation),
@@ -270,9 +274,10 @@
             hosts=self._hosts.hosts if self._hosts.version > held.hosts else None,
             roster=self._roster if self._roster_version > held.roster else None,
             cores=self._cores,
+            payoffs=self._payoffs.told(now),
         )
 
-    def _changes_reply(self, held: VersionVector, confirmation: Confirmation) -> ChangesReply:
+    def _changes_reply(self, now: float, held: VersionVector, confirmation: Confirmation) -> ChangesReply:
         newer = self._hosts.version > held.hosts
         changes = self._hosts.since(held.hosts) if newer else None
         return ChangesReply(
@@ -283,6 +288,7 @@
             host_changes=changes,
             roster=self._roster if self._roster_version > held.roster else None,
             cores=self._cores,
+            payoffs=self._payoffs.told(now),
         )
 
     def _vector(self, confirmation: Confirmation) -> VersionVector:
--- a/roselink/distribution/host_changes.py
+++ b/roselink/distribution/host_changes.py
@@ -19,7 +19,8 @@
         return None
     if listed is None and reply.host_changes is not None:
         return None
-    return PullReply(reply.confirmed, reply.vector, reply.configuration, listed, reply.roster, reply.cores)
+    known = reply.configuration, listed, reply.roster, reply.cores, reply.payoffs
+    return PullReply(reply.confirmed, reply.vector, *known)
 
 
 def _listed(reply: ChangesReply, held: int, hosts: tuple[Host, ...]) -> tuple[Host, ...] | None:
--- a/roselink/distribution/puller.py
+++ b/roselink/distribution/puller.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 
-from roselink.distribution.pull import Apply, Confirmed, Effect, PullMachine, SendPull, Unreadable
+from roselink.distribution.pull import Apply, Confirmed, Effect, Payoffs, PullMachine, SendPull, Unreadable
 from roselink.model.fleet import Member, Snapshot
 from roselink.model.settings import ProcessSettings, SettingsError, load_settings
+from roselink.protocol.payoffs import HostOutcomes
 from roselink.protocol.peers import PeerPool
 from roselink.protocol.pull import ChangesPull, ChangesReply, PullReply
 
@@ -43,6 +44,7 @@
         self._machine = PullMachine(member, settings.seed_peers(), chance)
         self._on_snapshot: list[Callable[[Snapshot], None]] = []
         self._on_confirmed: list[Callable[[float], None]] = []
+        self._on_payoffs: Callable[[Payoffs], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._settings_timer: asyncio.TimerHandle | None = None
         self._stamp = self._read_stamp()
@@ -78,6 +80,12 @@
         """Call with the time after which what is in force was the newest."""
         self._on_confirmed.append(callback)
 
+    def share_payoffs(
+        self, outcomes: Callable[[], tuple[HostOutcomes, ...]], told: Callable[[Payoffs], None]
+    ) -> None:
+        """Report `outcomes()` with each pull, and call `told` with what all gateways' reports come to."""
+        self._machine.outcomes, self._on_payoffs = outcomes, told
+
     def cores(self) -> tuple[str, ...]:
         """The core's members ("ip:port"), as a confirmed reply named them last."""
         return tuple(f"{host}:{port}" for host, port in self._machine.cores)
@@ -155,6 +163,9 @@
                 case Confirmed(at):
                     for confirmed in self._on_confirmed:
                         confirmed(at)
+                case Payoffs():
+                    if self._on_payoffs is not None:
+                        self._on_payoffs(effect)
                 case Unreadable(version, why):
                     log.error("configuration_unreadable version=%d why=%s", version, why)
         self._schedule()
--- a/roselink/router/app.py
+++ b/roselink/router/app.py
@@ -20,6 +20,7 @@
 from roselink.membership.sampler import Sampler
 from roselink.model.fleet import Member
 from roselink.model.settings import DEFAULT_PATH, ENVIRONMENT_VARIABLE, ProcessSettings
+from roselink.protocol.payoffs import HostOutcomes
 from roselink.protocol.peers import Address, PeerPool, PeerServer, Reply
 from roselink.router.parts import DataPlane
 from roselink.router.status_log import StatusLog
@@ -62,6 +63,10 @@
     seed = int.from_bytes(os.urandom(8), "big")
     decider = make_decider(settings.zone, seed, thresholds.retry_budget_ratio, thresholds.retry_window_s)
     data_plane = make_data_plane(settings, loop, decider, control.puller, control.budgets, control.budgets)
+    control.puller.share_payoffs(
+        lambda: tuple(HostOutcomes(*outcome) for outcome in decider.untold_outcomes()),
+        lambda told: data_plane.pool_payoffs(told.hosts),
+    )
     await data_plane.start()
     status_log = StatusLog(loop, data_plane.status_line)
     status_log.start()
