--- a/tests/router/test_app.py
+++ b/tests/router/test_app.py
@@ -256,6 +256,9 @@
     def status_line(self) -> str:
         return "open=0"
 
+    def pool_payoffs(self, payoffs: tuple[tuple[str, float], ...]) -> None:
+        self.calls.append("pool_payoffs")
+
 
 CREATED: list[FakeDataPlane] = []
 
