Coordination: the state machines stand in a package of their own, which imports only protocol

Ruled out: a re-exporting shim at the old place; it would keep two names for one module. Change: views, votes, ballots, proposing, presence, peering, chain, orders, reads, state, member, messages and effects move to roselink/coordination. MessageHandler is given the parts it needs, which ends the circle of member and messages.

--- a/experiments/core.py
+++ b/experiments/core.py
@@ -11,11 +11,11 @@
 
 from experiments.measure import machine, processor_us, show, show_line
 from experiments.shapes import make_cores
-from roselink.control.effects import Effect, Send, Store
-from roselink.control.reads import ReadRounds, Waiting
-from roselink.control.state import HISTORY_LIMIT, apply, digest_of
 from roselink.control.storage import Storage, record_number
-from roselink.control.views import MAX_VOTERS
+from roselink.coordination.effects import Effect, Send, Store
+from roselink.coordination.reads import ReadRounds, Waiting
+from roselink.coordination.state import HISTORY_LIMIT, apply, digest_of
+from roselink.coordination.views import MAX_VOTERS
 from roselink.protocol.chain import (
     ConfigurationOrder,
     ConfigurationState,
--- /dev/null
+++ b/experiments/own_days.py
@@ -0,0 +1,254 @@
+"""Write a deployment file whose days pair every kind of trouble with every other.
+
+`python -m experiments.own_days SITE OUT --days 60 --seed 1` keeps the deployment of SITE and replaces its
+standard days. Each day has two kinds of trouble, each twice and close together, above a background of
+configuration changes. Days 1 to 5 of every ten follow `SCENARIOS`: what operators saw go wrong before.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+import sys
+import tomllib
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import defopt  # type: ignore[import-untyped]
+
+Trouble = dict[str, object]
+FIRST_AT_S = 3.0
+LAST_PART = 0.8  # of a day: nothing begins later, so that the recovery is played too
+PLANNED = {"release", "roll_term", "config_change", "config_storm", "config_race", "bad_config", "revoke"}
+PLANNED |= {"replace_core", "seed_turnover", "hup", "scale_out", "scale_in"}
+
+KINDS: tuple[Trouble, ...] = (
+    {"kind": "burst", "x": 1.5, "for_s": 4.0},
+    {"kind": "hot_key", "share": 0.3, "for_s": 5.0},
+    {"kind": "hot_tenant", "x": 7.0, "for_s": 6.0},
+    {"kind": "srv_crash", "share": 0.2, "for_s": 5.0},
+    {"kind": "srv_crash", "share": 0.2, "for_s": 5.0, "how": "dark"},
+    {"kind": "release", "share": 0.4, "x": 1.0, "gap_s": 1.0},
+    {"kind": "answer_lost", "share": 0.5, "x": 0.05, "for_s": 6.0},
+    {"kind": "garble", "share": 0.5, "x": 0.04, "for_s": 6.0},
+    {"kind": "garble", "share": 0.5, "x": 0.04, "for_s": 6.0, "how": "extra"},
+    {"kind": "garble", "share": 0.5, "x": 0.04, "for_s": 6.0, "how": "unframed"},
+    {"kind": "garble", "share": 0.5, "x": 0.04, "for_s": 6.0, "how": "early"},
+    {"kind": "node_kill", "share": 0.2, "for_s": 2.0},
+    {"kind": "node_kill", "on": "core", "count": 1, "for_s": 2.0, "how": "leader power"},
+    {"kind": "node_freeze", "share": 0.2, "for_s": 4.0},
+    {"kind": "node_freeze", "on": "core", "count": 1, "for_s": 5.0, "how": "leader race"},
+    {"kind": "roll_term", "share": 0.5, "x": 1.0, "gap_s": 1.0, "how": "busy"},
+    {"kind": "roll_term", "share": 0.3, "x": 1.0, "gap_s": 1.0, "how": "remove"},
+    {"kind": "roll_term", "on": "core", "share": 1.0, "x": 1.0, "gap_s": 2.5},
+    {"kind": "herd_kill", "share": 0.6, "for_s": 1.5},
+    {"kind": "herd_kill", "on": "core", "for_s": 1.0, "how": "power"},
+    {"kind": "herd_kill", "on": "core", "for_s": 1.0, "how": "taken"},
+    {"kind": "replace_core", "x": 1.5, "how": "oldest"},
+    {"kind": "replace_core", "x": 1.5, "how": "planned"},
+    {"kind": "replace_core", "x": 1.5, "how": "leader"},
+    {"kind": "seed_turnover"},
+    {"kind": "after_ack_wipe", "for_s": 2.5},
+    {"kind": "after_ack_wipe", "for_s": 2.5, "how": "oldest"},
+    {"kind": "after_ack_kill", "count": 1, "for_s": 2.0, "how": "timed"},
+    {"kind": "disk_full", "count": 1, "for_s": 3.0},
+    {"kind": "disk_stall", "count": 1, "for_s": 4.0, "how": "leader"},
+    {"kind": "disk_slow", "count": 1, "for_s": 4.0, "x": 30.0},
+    {"kind": "core_cut", "count": 1, "for_s": 6.0, "how": "leader hard"},
+    {"kind": "core_cut", "count": 1, "for_s": 6.0, "how": "one_way race"},
+    {"kind": "core_cut", "count": 1, "for_s": 6.0, "how": "all meet"},
+    {"kind": "core_cut", "count": 1, "for_s": 6.0, "how": "both"},
+    {"kind": "core_cut", "count": 1, "for_s": 6.0, "how": "near"},
+    {"kind": "core_cut", "count": 1, "for_s": 6.0, "how": "seeds"},
+    {"kind": "core_cut", "count": 1, "for_s": 8.0, "how": "lure"},
+    {"kind": "config_storm", "gap_s": 0.2, "for_s": 5.0},
+    {"kind": "config_race", "count": 4, "gap_s": 0.4},
+    {"kind": "bad_config", "count": 6, "gap_s": 0.3},
+    {"kind": "bad_config", "count": 4, "gap_s": 0.3, "how": "same_version"},
+    {"kind": "ack_lost", "for_s": 10.0, "x": 0.8},
+    {"kind": "revoke", "count": 2, "gap_s": 1.0},
+    {"kind": "retry_abuse", "share": 0.4, "x": 3.0, "for_s": 6.0},
+    {"kind": "give_up", "share": 0.3, "for_s": 6.0},
+    {"kind": "srv_slow", "share": 0.2, "x": 4.0, "for_s": 5.0},
+    {"kind": "srv_grey", "share": 0.2, "x": 0.4, "for_s": 5.0, "how": "hang"},
+    {"kind": "srv_grey", "share": 0.2, "x": 0.4, "for_s": 5.0, "how": "reset"},
+    {"kind": "srv_grey", "share": 0.2, "x": 0.4, "for_s": 5.0, "how": "mute"},
+    {"kind": "srv_cut", "share": 0.3, "for_s": 5.0},
+    {"kind": "srv_cut", "share": 0.3, "for_s": 5.0, "how": "fronts"},
+    {"kind": "replace_with_reuse", "share": 0.2, "how": "dark"},
+    {"kind": "replace_with_reuse", "share": 0.2, "how": "drain"},
+    {"kind": "scale_out", "share": 0.3, "gap_s": 3.0},
+    {"kind": "scale_in", "share": 0.2, "how": "spot", "x": 2.0},
+    {"kind": "node_slow", "share": 0.2, "x": 5.0, "for_s": 5.0},
+    {"kind": "node_slow", "on": "core", "count": 1, "x": 5.0, "for_s": 5.0, "how": "leader"},
+    {"kind": "clock_step", "share": 0.5, "x": 4000.0, "for_s": 5.0},
+    {"kind": "clock_step", "share": 0.5, "x": 4000.0, "for_s": 5.0, "how": "back"},
+    {"kind": "hup", "share": 0.5, "gap_s": 2.0},
+    {"kind": "reset_conns", "share": 0.4, "x": 0.5, "for_s": 2.0},
+    {"kind": "node_cut", "share": 0.2, "for_s": 5.0},
+    {"kind": "node_cut", "share": 0.2, "for_s": 5.0, "how": "servers"},
+)
+CLOSINGS: tuple[Trouble | None, ...] = (
+    None,
+    {"kind": "power_off_all", "down_s": 1.0},
+    {"kind": "power_off_all", "down_s": 1.0, "how": "timed"},
+    {"kind": "wipe_after_ack", "down_s": 1.2},
+    {"kind": "wipe_after_ack", "down_s": 1.2, "how": "oldest"},
+    {"kind": "wipe_after_ack", "down_s": 1.2, "how": "timed"},
+    {"kind": "kill_all", "down_s": 1.0},
+)
+Scenario = Callable[[random.Random], list[Trouble]]
+
+
+def long_cut(draw: random.Random) -> list[Trouble]:
+    """A control machine is cut off for twenty seconds, while orders race."""
+    how = draw.choice(("leader lure hard", "lure race", "all race", "one_way meet", "near race"))
+    return [
+        {"kind": "core_cut", "count": 1, "for_s": 20.0, "how": how, "at": draw.uniform(4, 7)},
+        {"kind": "config_race", "count": 5, "gap_s": 2.5, "at": 6.0},
+        {"kind": "revoke", "count": 2, "gap_s": 5.0, "at": 9.0},
+    ]
+
+
+def lost_answers(draw: random.Random) -> list[Trouble]:
+    """Operators race under one number, and most acknowledgements are lost."""
+    return [
+        {"kind": "ack_lost", "for_s": 24.0, "x": draw.choice((0.6, 0.9)), "at": 2.0},
+        {"kind": "config_race", "count": 12, "gap_s": draw.choice((0.3, 0.8, 1.5)), "at": 4.0},
+        {"kind": "node_kill", "on": "core", "count": 1, "for_s": 1.5, "how": "leader race", "at": 8.0},
+        {"kind": "herd_kill", "on": "core", "for_s": 1.0, "how": "taken race", "at": 17.0},
+    ]
+
+
+def loss_after_repair(draw: random.Random) -> list[Trouble]:
+    """One machine after the other is replaced, and disks are lost right after."""
+    how = draw.choice(("planned", "oldest", "leader"))
+    gap_s = draw.uniform(5.0, 8.0)
+    return [
+        {"kind": "replace_core", "x": 1.0, "how": how, "at": 4.0},
+        {"kind": "after_ack_wipe", "for_s": 2.0, "how": "oldest", "at": 4.0 + gap_s},
+        {"kind": "replace_core", "x": 1.0, "how": how, "at": 4.0 + 2 * gap_s},
+        {"kind": "after_ack_wipe", "for_s": 2.0, "at": 4.0 + 3 * gap_s},
+    ]
+
+
+def many_changes(draw: random.Random) -> list[Trouble]:
+    """Hundreds of changes, then restarts."""
+    down_s = draw.uniform(1, 4)
+    return [
+        {"kind": "config_storm", "gap_s": 0.035, "count": 500, "at": 3.0},
+        {
+            "kind": "node_kill",
+            "on": "core",
+            "count": 1,
+            "for_s": down_s,
+            "how": "power",
+            "at": 9.0,
+        },
+        {"kind": "after_ack_wipe", "for_s": 2.0, "at": 16.0},
+        {"kind": "herd_kill", "on": "core", "for_s": 1.0, "how": "power", "at": 24.0},
+    ]
+
+
+def spoilt_answers(draw: random.Random) -> list[Trouble]:
+    """Hosts double, spoil, lose and cut their answers."""
+    extra: list[Trouble] = [
+        {"kind": "garble", "share": 0.7, "x": 0.08, "for_s": 20.0, "how": how, "at": 4.0 + place}
+        for place, how in enumerate(draw.sample(("extra", "unframed", "early"), 2))
+    ]
+    return [
+        *extra,
+        {"kind": "answer_lost", "share": 0.7, "x": 0.08, "for_s": 20.0, "at": 4.0},
+        {"kind": "srv_grey", "share": 0.3, "x": 0.4, "for_s": 8.0, "how": "reset", "at": 8.0},
+        {"kind": "give_up", "share": 0.3, "for_s": 12.0, "at": 6.0},
+        {"kind": "reset_conns", "share": 0.4, "x": 0.5, "for_s": 4.0, "at": 14.0},
+    ]
+
+
+SCENARIOS: tuple[Scenario, ...] = (long_cut, lost_answers, loss_after_repair, many_changes, spoilt_answers)
+
+
+def value_of(value: object) -> str:
+    """A TOML value."""
+    if isinstance(value, str):
+        return f'"{value}"'
+    return f"{value:.2f}" if isinstance(value, float) else str(value)
+
+
+def table_of(trouble: Trouble) -> str:
+    """A TOML inline table."""
+    return "{ " + ", ".join(f"{key} = {value_of(value)}" for key, value in trouble.items()) + " }"
+
+
+def kind_pairs(draw: random.Random) -> Iterator[tuple[Trouble, Trouble]]:
+    """All pairs of kinds, in an order that takes every kind early."""
+    order = list(KINDS)
+    draw.shuffle(order)
+    for distance in itertools.count(1):
+        for place, first in enumerate(order):
+            yield first, order[(place + distance) % len(order)]
+
+
+def paired(draw: random.Random, pair: tuple[Trouble, Trouble], length_s: float) -> list[Trouble]:
+    """Both kinds twice, overlapping, beside changes of the configuration."""
+    last = LAST_PART * length_s
+    first_at, second_at = draw.uniform(FIRST_AT_S, last / 2), draw.uniform(last / 2, last)
+    troubles: list[Trouble] = []
+    for at in (first_at, second_at):
+        for trouble in pair:
+            troubles.append(trouble | {"at": round(at + draw.uniform(0, 1.5), 2)})
+    changes = draw.choice(("config_race", "config_storm"))
+    troubles.append({"kind": changes, "count": 6, "gap_s": round(draw.uniform(0.5, 3.0), 2), "at": 4.0})
+    return troubles
+
+
+def day_text(name: str, seed: int, troubles: list[Trouble], closing: Trouble | None) -> str:
+    """One day as it stands in a deployment's file, but for its traffic."""
+
+    def listed(name: str, entries: list[Trouble]) -> str:
+        return f"{name} = [\n" + "".join(f"  {table_of(entry)},\n" for entry in entries) + "]\n"
+
+    lines = ["[[day]]", f'name = "{name}"', 'slot = "trouble"', f"seed = {seed}"]
+    if closing is not None:
+        lines.append(f"closing = {table_of(closing)}")
+    lines += ["one = 0.8", "zero = 0.3", "goal = { floor = 0.1 }", "labels = []", "wall = 2.0"]
+    lines.append("light = true")
+    text = "\n".join(lines) + "\n"
+    text += listed("plan", [trouble for trouble in troubles if trouble["kind"] in PLANNED])
+    return text + listed("faults", [trouble for trouble in troubles if trouble["kind"] not in PLANNED])
+
+
+def write_days(site: str, out: str, *, days: int = 60, seed: int = 1) -> None:
+    """Write the deployment of one file with other days.
+
+    :param site: the deployment's file
+    :param out: the file to write
+    :param days: how many days
+    :param seed: of all that is drawn
+    """
+    text = Path(site).read_text(encoding="utf-8")
+    told = tomllib.loads(text)
+    head, _, first_day = text.partition("[[day]]")
+    day = first_day.partition("[[day]]")[0]
+    traffic = day[day.index("traffic = [") :].partition("\n]\n")[0] + "\n]\n"
+    draw = random.Random(seed)
+    pairs = kind_pairs(draw)
+    written = [head]
+    for number in range(1, days + 1):
+        place = (number - 1) % (2 * len(SCENARIOS))
+        if place < len(SCENARIOS):
+            name, troubles = SCENARIOS[place].__name__, SCENARIOS[place](draw)
+        else:
+            pair = next(pairs)
+            name, troubles = (
+                "-".join(str(kind["kind"]) for kind in pair),
+                paired(draw, pair, told["length_s"]),
+            )
+        closing = draw.choice(CLOSINGS)
+        title = f"own-{number}-{name.replace('_', '-')}"
+        written.append(day_text(title, draw.randrange(1, 10**9), troubles, closing) + traffic + "\n")
+    Path(out).write_text("".join(written), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(write_days))
--- a/experiments/pulls.py
+++ b/experiments/pulls.py
@@ -15,7 +15,7 @@
 from experiments.shapes import make_configuration, make_cores, make_hosts, make_member, make_roster, replaced
 from roselink.control.contract import Confirmation
 from roselink.control.pulls import Answer, AnswerChanges, PullDesk
-from roselink.control.views import MAX_VOTERS
+from roselink.coordination.views import MAX_VOTERS
 from roselink.dataplane.topology import HostDirectory
 from roselink.dataplane.upstream import FleetUpstream
 from roselink.distribution.host_changes import completed
--- a/roselink/control/api.py
+++ b/roselink/control/api.py
@@ -30,8 +30,8 @@
     Unsettled,
 )
 from roselink.control.pulls import GatewayLag
-from roselink.control.state import digest_of
 from roselink.control.values import MOST_NUMBER
+from roselink.coordination.state import digest_of
 from roselink.model.fleet import VersionVector
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
--- a/roselink/control/contract.py
+++ b/roselink/control/contract.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from roselink.control.effects import (
+from roselink.coordination.effects import (
     Confirmation,
     Conflict,
     NotNewer,
--- a/roselink/control/node.py
+++ b/roselink/control/node.py
@@ -11,7 +11,8 @@
 
 import structlog
 
-from roselink.control.effects import (
+from roselink.control.storage import Storage, record_number
+from roselink.coordination.effects import (
     Confirmation,
     Effect,
     Persist,
@@ -23,9 +24,8 @@
     Unsettled,
     ViewChanged,
 )
-from roselink.control.member import TICK_S, Member, Start
-from roselink.control.messages import HANDLED
-from roselink.control.storage import Storage, record_number
+from roselink.coordination.member import TICK_S, Member, Start
+from roselink.coordination.messages import HANDLED
 from roselink.model.settings import ProcessSettings
 from roselink.protocol.chain import ConfigurationOrder, StoredState, View, Votes
 from roselink.protocol.peers import Address, PeerPool, Reply
--- a/roselink/control/storage.py
+++ b/roselink/control/storage.py
@@ -17,7 +17,7 @@
 import struct
 from dataclasses import dataclass, field
 
-from roselink.control.effects import Store
+from roselink.coordination.effects import Store
 from roselink.protocol.chain import StoredState, Votes
 from roselink.protocol.records import RecordError, decode
 
--- a/roselink/control/ballots.py
+++ b/roselink/coordination/ballots.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from roselink.control.effects import Emit, Persist, Send, Store
-from roselink.control.votes import Voting
+from roselink.coordination.effects import Emit, Persist, Send, Store
+from roselink.coordination.votes import Voting
 from roselink.protocol.records import encode
 
 
--- a/roselink/control/chain.py
+++ b/roselink/coordination/chain.py
@@ -14,9 +14,9 @@
 
 from dataclasses import dataclass, field
 
-from roselink.control.effects import Emit, Persist, Send, Store
-from roselink.control.state import EMPTY, apply
-from roselink.control.views import link_of
+from roselink.coordination.effects import Emit, Persist, Send, Store
+from roselink.coordination.state import EMPTY, apply
+from roselink.coordination.views import link_of
 from roselink.protocol.chain import (
     Ack,
     ConfigurationOrder,
--- a/roselink/control/member.py
+++ b/roselink/coordination/member.py
@@ -24,18 +24,18 @@
 
 from dataclasses import dataclass, field
 
-from roselink.control.ballots import BallotBox
-from roselink.control.chain import ChainMember
-from roselink.control.effects import Effect, Persist, Send, Store, ViewChanged
-from roselink.control.messages import handle
-from roselink.control.orders import HeadOrders, OwnCalls
-from roselink.control.peering import DiskHealth, Peers
-from roselink.control.presence import Presence
-from roselink.control.proposing import Proposer
-from roselink.control.reads import ReadRounds
-from roselink.control.state import EMPTY
-from roselink.control.views import Rules, first_view, link_of, reunited
-from roselink.control.votes import Voting
+from roselink.coordination.ballots import BallotBox
+from roselink.coordination.chain import ChainMember
+from roselink.coordination.effects import Effect, Persist, Send, Store, ViewChanged
+from roselink.coordination.messages import MessageHandler
+from roselink.coordination.orders import HeadOrders, OwnCalls
+from roselink.coordination.peering import DiskHealth, Peers
+from roselink.coordination.presence import Presence
+from roselink.coordination.proposing import Proposer
+from roselink.coordination.reads import ReadRounds
+from roselink.coordination.state import EMPTY
+from roselink.coordination.views import Rules, first_view, link_of, reunited
+from roselink.coordination.votes import Voting
 from roselink.protocol.chain import (
     ConfigurationOrder,
     StoredState,
@@ -98,6 +98,20 @@
         self.reads = ReadRounds(voter, self.emit)
         self.orders = HeadOrders(self.chain, self.emit)
         self.calls = OwnCalls(voter, self.emit)
+        self._messages = MessageHandler(
+            voting=self.voting,
+            ballots=self.ballots,
+            chain=self.chain,
+            peers=self.peers,
+            presence=self.presence,
+            proposer=self.proposer,
+            reads=self.reads,
+            orders=self.orders,
+            calls=self.calls,
+            emit=self.emit,
+            follow=self.follow,
+            committed=self.committed,
+        )
         self._numbers = start.session
         self._announced = (0, False)
         self._ticked_at = self._began_at = now
@@ -193,7 +207,7 @@
     def receive(self, message: object, now: float) -> list[Effect]:
         """Take one of the records that `messages.HANDLED` names."""
         if self._saved_first:
-            handle(self, message, now)
+            self._messages.handle(message, now)
         return self._flush(now)
 
     def persisted(self, store: Store, now: float) -> list[Effect]:
@@ -301,7 +315,7 @@
         while self._out.own:
             own, self._out.own = self._out.own, []
             for message in own:
-                handle(self, message, now)
+                self._messages.handle(message, now)
         if self._saved_first:
             self.ballots.release()
             if not self.disk.refusing:
--- a/roselink/control/orders.py
+++ b/roselink/coordination/orders.py
@@ -12,8 +12,8 @@
 
 from dataclasses import dataclass, field
 
-from roselink.control.chain import ChainMember
-from roselink.control.effects import (
+from roselink.coordination.chain import ChainMember
+from roselink.coordination.effects import (
     Confirmation,
     Conflict,
     Emit,
@@ -25,7 +25,7 @@
     TakenOrder,
     Unsettled,
 )
-from roselink.control.state import Judgement, judge
+from roselink.coordination.state import Judgement, judge
 from roselink.protocol.chain import (
     ConfigurationOrder,
     OutcomeKind,
--- a/roselink/control/peering.py
+++ b/roselink/coordination/peering.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from roselink.control.views import Peer
+from roselink.coordination.views import Peer
 from roselink.protocol.chain import Heartbeat, Voter
 
 SILENT_S = 0.45  # a machine that said nothing for so long is suspected
--- a/roselink/control/presence.py
+++ b/roselink/coordination/presence.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
-from roselink.control.chain import ChainMember
-from roselink.control.effects import Emit, Send
-from roselink.control.peering import DiskHealth, Peers
-from roselink.control.views import Peer, whole
+from roselink.coordination.chain import ChainMember
+from roselink.coordination.effects import Emit, Send
+from roselink.coordination.peering import DiskHealth, Peers
+from roselink.coordination.views import Peer, whole
 from roselink.protocol.chain import Heartbeat, View, Voter
 
 HEARTBEAT_S = 0.1
--- a/roselink/control/proposing.py
+++ b/roselink/coordination/proposing.py
@@ -10,9 +10,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from roselink.control.effects import Emit, Send
-from roselink.control.views import Peer, Rules, majority, plan
-from roselink.control.votes import Attempt, Voting
+from roselink.coordination.effects import Emit, Send
+from roselink.coordination.views import Peer, Rules, majority, plan
+from roselink.coordination.votes import Attempt, Voting
 from roselink.protocol.chain import Accept, Accepted, Ballot, Prepare, Promise, Refusal, View, Voter
 
 RANK_S = 0.12  # delay for each live voter that comes before
--- a/roselink/control/reads.py
+++ b/roselink/coordination/reads.py
@@ -4,7 +4,7 @@
 that waited before the round began get the tail's committed state once a majority says no.
 
 Why such a read misses nothing acknowledged before it began: what was acknowledged in an epoch up to e is in
-the tail's state (`roselink.control.views`; the tail itself acknowledges in e). Suppose that a write was
+the tail's state (`roselink.coordination.views`; the tail itself acknowledges in e). Suppose that a write was
 acknowledged in an epoch after e before the read began. Then the view e+1 had been decided before: a majority
 of the voters of e had put its acceptance on their disks. Any majority of the same voters has one of them in
 common, and that one, asked afterwards, does not say yes: a voter keeps its acceptance over a restart, and one
@@ -18,8 +18,8 @@
 
 from dataclasses import dataclass, field
 
-from roselink.control.effects import Emit, Send
-from roselink.control.views import majority
+from roselink.coordination.effects import Emit, Send
+from roselink.coordination.views import majority
 from roselink.protocol.chain import ConfirmAnswer, ConfirmAsk, View, Voter
 
 ROUND_AGAIN_S = 0.15
--- a/roselink/control/votes.py
+++ b/roselink/coordination/votes.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 
-from roselink.control.views import majority
+from roselink.coordination.views import majority
 from roselink.protocol.chain import Accept, Accepted, Ballot, Prepare, Promise, Refusal, View, Voter, Votes
 
 
--- a/roselink/model/fleet.py
+++ b/roselink/model/fleet.py
@@ -1,4 +1,7 @@
-"""What gateways are told beside the configuration: hosts, and which gateways are live."""
+"""What gateways are told beside the configuration: hosts, and which gateways are live.
+
+These are fields of records (`roselink.protocol`), never records of their own.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +9,6 @@
 from enum import IntEnum
 
 from roselink.model.configuration import Configuration
-from roselink.protocol.records import record
 
 
 class HostState(IntEnum):
@@ -16,7 +18,6 @@
     DRAINING = 2
 
 
-@record(1)
 @dataclass(frozen=True, slots=True)
 class Host:
     """One host of the platform's list. `id` is new with each start; `address` is "ip:port"."""
@@ -32,7 +33,6 @@
     models: tuple[str, ...]
 
 
-@record(2)
 @dataclass(frozen=True, slots=True)
 class Member:
     """One live gateway: its name, its address for peers ("ip:port"), and a number drawn at its start."""
@@ -42,7 +42,6 @@
     incarnation: int
 
 
-@record(3)
 @dataclass(frozen=True, slots=True)
 class VersionVector:
     """The versions of each part that a gateway holds; 0 where it holds none. Each only rises.
--- a/roselink/protocol/chain.py
+++ b/roselink/protocol/chain.py
@@ -86,7 +86,7 @@
 @record(35)
 @dataclass(frozen=True, slots=True)
 class ConfigurationState:
-    """The replicated state. `history`: packed entries of the newest orders (see `roselink.control.state`)."""
+    """The replicated state. `history`: packed entries of the newest orders (`coordination.state`)."""
 
     sequence: int
     generation: int
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -21,7 +21,7 @@
     Unsettled,
 )
 from roselink.control.pulls import GatewayLag
-from roselink.control.state import digest_of
+from roselink.coordination.state import digest_of
 from roselink.model.fleet import VersionVector
 from tests.control.fakes import FakeNode
 from tests.control.reactor import REACTOR, play
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from roselink.control.effects import Confirmation, Conflict, SubmitOutcome, TakenOrder
 from roselink.control.node import ControlNode
-from roselink.control.state import digest_of
+from roselink.coordination.effects import Confirmation, Conflict, SubmitOutcome, TakenOrder
+from roselink.coordination.state import digest_of
 from roselink.model.settings import ProcessSettings, read_settings
 from roselink.protocol.chain import ConfigurationOrder
 from roselink.protocol.peers import Address, PeerPool, PeerServer, Reply
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -15,9 +15,9 @@
 import pytest
 
 from roselink.control import storage
-from roselink.control.effects import Store
-from roselink.control.state import EMPTY
 from roselink.control.storage import Storage, record_number
+from roselink.coordination.effects import Store
+from roselink.coordination.state import EMPTY
 from roselink.protocol.chain import ConfigurationState, StoredState, Voter, Votes
 from roselink.protocol.records import encode
 
--- a/tests/control/clients.py
+++ b/tests/coordination/clients.py
@@ -6,10 +6,10 @@
 
 from dataclasses import dataclass, field
 
-from roselink.control.effects import Confirmation, Conflict, NotNewer, SubmitOutcome, TakenOrder
-from roselink.control.state import digest_of
+from roselink.coordination.effects import Confirmation, Conflict, NotNewer, SubmitOutcome, TakenOrder
+from roselink.coordination.state import digest_of
 from roselink.protocol.chain import ConfigurationOrder
-from tests.control.simulation import World
+from tests.coordination.simulation import World
 
 
 @dataclass
--- a/tests/control/simulation.py
+++ b/tests/coordination/simulation.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from roselink.control.effects import (
+from roselink.coordination.effects import (
     Confirmation,
     Effect,
     Persist,
@@ -19,7 +19,7 @@
     SubmitDone,
     SubmitOutcome,
 )
-from roselink.control.member import TICK_S, Member, Start
+from roselink.coordination.member import TICK_S, Member, Start
 from roselink.protocol.chain import ConfigurationOrder
 from roselink.protocol.records import decode, encode, number_of
 
--- a/tests/control/test_chain.py
+++ b/tests/coordination/test_chain.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from roselink.control.chain import ChainMember
-from roselink.control.effects import Effect, Persist, Send, Store
-from roselink.control.state import EMPTY, apply, digest_of
+from roselink.coordination.chain import ChainMember
+from roselink.coordination.effects import Effect, Persist, Send, Store
+from roselink.coordination.state import EMPTY, apply, digest_of
 from roselink.protocol.chain import (
     Ack,
     ConfigurationOrder,
--- a/tests/control/test_member.py
+++ b/tests/coordination/test_member.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from roselink.control.effects import Effect, Persist, ReadDone, Send, Store, SubmitDone, Unsettled
-from roselink.control.member import Member, Start
-from roselink.control.peering import DiskHealth, Peers
-from roselink.control.state import EMPTY, apply, digest_of
-from roselink.control.views import first_view
+from roselink.coordination.effects import Effect, Persist, ReadDone, Send, Store, SubmitDone, Unsettled
+from roselink.coordination.member import Member, Start
+from roselink.coordination.peering import DiskHealth, Peers
+from roselink.coordination.state import EMPTY, apply, digest_of
+from roselink.coordination.views import first_view
 from roselink.protocol.chain import (
     Accept,
     Accepted,
--- a/tests/control/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -7,13 +7,22 @@
 
 import pytest
 
-from roselink.control import state as state_module
-from roselink.control.chain import ChainMember
-from roselink.control.effects import Effect, Send
-from roselink.control.orders import HeadOrders
-from roselink.control.reads import ReadRounds, Waiting
-from roselink.control.state import EMPTY, HISTORY_LIMIT, Judgement, Verdict, apply, digest_of, find, judge
-from roselink.control.views import first_view
+from roselink.coordination import state as state_module
+from roselink.coordination.chain import ChainMember
+from roselink.coordination.effects import Effect, Send
+from roselink.coordination.orders import HeadOrders
+from roselink.coordination.reads import ReadRounds, Waiting
+from roselink.coordination.state import (
+    EMPTY,
+    HISTORY_LIMIT,
+    Judgement,
+    Verdict,
+    apply,
+    digest_of,
+    find,
+    judge,
+)
+from roselink.coordination.views import first_view
 from roselink.protocol.chain import (
     Ack,
     ConfigurationOrder,
--- a/tests/control/test_simulation.py
+++ b/tests/coordination/test_simulation.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from roselink.control.effects import SubmitOutcome, TakenOrder
-from roselink.control.state import digest_of
+from roselink.coordination.effects import SubmitOutcome, TakenOrder
+from roselink.coordination.state import digest_of
 from roselink.protocol.chain import ConfigurationOrder
-from tests.control.simulation import Machine, World
-from tests.control.troubles import harm, in_chain, mend, read, storm_day, trouble_day
+from tests.coordination.simulation import Machine, World
+from tests.coordination.troubles import harm, in_chain, mend, read, storm_day, trouble_day
 
 
 def order_on(base: int, generation: int) -> ConfigurationOrder:
--- a/tests/control/test_views.py
+++ b/tests/coordination/test_views.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from roselink.control.views import Peer, Rules, first_view, intact, majority, plan
+from roselink.coordination.views import Peer, Rules, first_view, intact, majority, plan
 from roselink.protocol.chain import Link, View, Voter
 
 NAMES = ("a", "b", "c", "d", "e")
--- a/tests/control/test_votes.py
+++ b/tests/coordination/test_votes.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from roselink.control.views import first_view
-from roselink.control.votes import Attempt, Voting
+from roselink.coordination.views import first_view
+from roselink.coordination.votes import Attempt, Voting
 from roselink.protocol.chain import Accept, Accepted, Ballot, Prepare, Promise, Refusal, View, Voter, Votes
 
 VIEW = first_view("abc")
--- a/tests/control/troubles.py
+++ b/tests/coordination/troubles.py
@@ -4,10 +4,10 @@
 
 from functools import partial
 
-from roselink.control.effects import Confirmation
-from roselink.control.state import find
-from tests.control.clients import Operator, Reader, Told
-from tests.control.simulation import Machine, World
+from roselink.coordination.effects import Confirmation
+from roselink.coordination.state import find
+from tests.coordination.clients import Operator, Reader, Told
+from tests.coordination.simulation import Machine, World
 
 SYNC_S = 4.0  # so long after its return a machine still counts as lost
 
