Core start: the chain needs neither structlog nor the HTTP libraries, imported in short steps

Ruled out: imports behind an active chain (trial or the like): the tail's list of hosts then waits. One event view_changed a view, chain_active at the tail. A gateway without a configuration says when it will likely have one; what never ran is given back to its quota.

--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -1,9 +1,8 @@
 """One core process: the chain, the pull service, the list reader and the operator's interface, assembled.
 
 The chain takes part before the HTTP libraries are loaded: their imports are most of a start's processor
-time, and while the core waits for a view the gateways wait for the core. They are imported one by one
-meanwhile, with a turn of the loop after each and while the disk's thread is idle: imports beside another
-thread that uses files crashed in native code on the bench. Their order matters: Twisted's reactor must be
+time, and while the core waits for a view the gateways wait for the core. So they are imported in short steps
+beside the running chain, with a turn of the loop after each. Their order matters: Twisted's reactor must be
 installed on the event loop before anything else imports it.
 """
 
@@ -12,7 +11,6 @@
 import asyncio
 import gc
 import importlib
-import json
 import os
 import signal
 import sys
@@ -20,7 +18,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from roselink.control.contract import Address, ControlNode
-from roselink.control.pull_service import PullService
+from roselink.control.event_log import log
 from roselink.model.settings import (
     DEFAULT_PATH,
     ENVIRONMENT_VARIABLE,
@@ -33,23 +31,46 @@
 if TYPE_CHECKING:
     from roselink.control.api import AdminApi
     from roselink.control.platform_client import PlatformClient
+    from roselink.control.pull_service import PullService
 
 STOP_SHARE = 0.25  # of `grace_s`: how long orders under way may take to end after SIGTERM
 MOST_STOP_S = 1.5
 STOP_STEP_S = 0.05
-HTTP_MODULES = (  # behind the reactor, in this order: each import takes some hundredths of a second at most
+REACTOR_MODULES = (  # each of these imports takes a hundredth of a second or two at most
+    "zope.interface.interfaces",
+    "attr._make",
+    "attr",
+    "email.message",
+    "http.cookiejar",
+    "twisted.internet.interfaces",
+    "twisted.python.log",
+    "twisted.internet.protocol",
+    "twisted.internet.tcp",
+    "twisted.internet.asyncioreactor",
+)
+HTTP_MODULES = (  # the same, behind the reactor
+    "twisted.cred.checkers",
+    "twisted.spread.pb",
+    "twisted.web.http",
     "twisted.web.server",
+    "twisted.internet.endpoints",
     "twisted.web.client",
+    "werkzeug.datastructures",
+    "werkzeug.http",
+    "werkzeug.sansio.response",
     "werkzeug.routing",
+    "klein._form",
     "klein",
     "voluptuous",
+    "structlog.processors",
     "structlog",
     "roselink.control.logs",
+    "roselink.control.checking",
     "roselink.control.api",
+    "treq.api",
     "treq.client",
     "roselink.control.platform_client",
 )
-DISK_WAIT_S, DISK_STEP_S = 0.1, 0.002  # for the disk's thread before an import; a stalled disk holds up none
 LISTEN_TRIES = 50
 LISTEN_PAUSE_S = 0.1
 
@@ -68,10 +89,6 @@
     def handle(self, peer: Address, message: object, reply: Reply) -> bool:
         """Take a record of the chain; False for any other."""
 
-    @property
-    def disk_idle(self) -> bool:
-        """Whether no disk work is under way."""
-
     def seeds_changed(self, settings: ProcessSettings) -> None:
         """The settings name other seeds: members that may be asked for the core's state."""
 
@@ -104,42 +121,19 @@
     return reactor
 
 
+async def _import_in_steps(names: tuple[str, ...]) -> None:
+    """Import modules in this order; between two of them the loop serves what has come."""
+    for name in names:
+        await asyncio.sleep(0)
+        importlib.import_module(name)
+
+
 def _make_node(settings: ProcessSettings, pool: PeerPool) -> CoreNode:
     node = importlib.import_module("roselink.control.node")
     made: CoreNode = node.ControlNode(settings, pool, asyncio.get_running_loop())
     return made
 
 
-class EventLog:
-    """Events by name, one JSON line each: plainly until the logging library is loaded, then through it."""
-
-    def __init__(self) -> None:
-        self._logger: Any = None
-
-    def begin(self, logger: Any) -> None:
-        """The library is there."""
-        self._logger = logger
-
-    def info(self, event: str, **fields: Any) -> None:
-        """Something that is as it should be."""
-        self._say("info", event, fields)
-
-    def warning(self, event: str, **fields: Any) -> None:
-        """Something that people may have to look at."""
-        self._say("warning", event, fields)
-
-    def error(self, event: str, **fields: Any) -> None:
-        """Something that keeps the process from its work."""
-        self._say("error", event, fields)
-
-    def _say(self, level: str, event: str, fields: dict[str, Any]) -> None:
-        if self._logger is None:
-            line = json.dumps({**fields, "event": event, "level": level}, default=str)
-            sys.stderr.write(line + "\n")
-        else:
-            getattr(self._logger, level)(event, **fields)
-
-
 class CoreProcess:
     """The parts of one process, and their start and end."""
 
@@ -150,7 +144,6 @@
         make_node: Callable[[ProcessSettings, PeerPool], CoreNode],
     ) -> None:
         self._settings, self._loop, self._make_node = settings, loop, make_node
-        self._log = EventLog()
         self._stopping = False
         self._halted = False
         self._starting: asyncio.Task[None] | None = None
@@ -188,7 +181,7 @@
         if task.cancelled() or task.exception() is None:
             return
         self.failure = task.exception()
-        self._log.error("core_failed", error=repr(self.failure))
+        log.error("core_failed", error=repr(self.failure))
         self._halt()
 
     def _halt(self) -> None:
@@ -198,25 +191,23 @@
 
     async def _start(self) -> None:
         settings = self._settings
+        log.name(settings.node_name)
         self._node = node = self._make_node(settings, self._pool)
-        node.on_view(self._log_view)
-        self._pulls = PullService(node, self._pool)
         await self._listen(settings.ip, settings.peer_port)
         node.start()
+        self._pulls = importlib.import_module("roselink.control.pull_service").PullService(node, self._pool)
         self._pulls.start()
         await self._start_http(node, self._pulls)
         gc.collect()
         gc.freeze()
-        self._log.info("core_started", peer_port=settings.peer_port, epoch=node.epoch)
+        log.info("core_started", peer_port=settings.peer_port, epoch=node.epoch)
 
     async def _start_http(self, node: CoreNode, pulls: PullService) -> None:
         """Load the HTTP libraries beside the running chain, then listen to the operator."""
         settings = self._settings
-        await self._disk_idle(node)
+        await _import_in_steps(REACTOR_MODULES)
         reactor = install_reactor(self._loop)
-        for name in HTTP_MODULES:
-            await self._disk_idle(node)
-            importlib.import_module(name)
+        await _import_in_steps(HTTP_MODULES)
         import structlog
 
         from roselink.control.api import AdminApi
@@ -224,7 +215,7 @@
         from roselink.control.platform_client import PlatformClient
 
         start_logs(settings.node_name)
-        self._log.begin(structlog.get_logger("roselink.core"))
+        log.begin(structlog.get_logger("roselink.core"))
         reactor.startRunning(installSignalHandlers=False)
         if settings.platform is not None:
             self._client = PlatformClient(reactor, settings.platform, pulls.hosts_listed)
@@ -235,13 +226,6 @@
         if admin is not None:
             self._listening = reactor.listenTCP(admin[1], self._api.site(), backlog=128, interface=admin[0])
 
-    async def _disk_idle(self, node: CoreNode) -> None:
-        """Let the loop turn, and wait for the disk's thread: no two threads read and write files at once."""
-        await asyncio.sleep(0)
-        ends = self._loop.time() + DISK_WAIT_S
-        while not node.disk_idle and self._loop.time() < ends:
-            await asyncio.sleep(DISK_STEP_S)
-
     async def _listen(self, host: str, port: int) -> None:
         """Take the port for peers; a former process may hold it for a moment."""
         for left in reversed(range(LISTEN_TRIES)):
@@ -252,14 +236,9 @@
                 if not left:
                     raise
                 if left == LISTEN_TRIES - 1:
-                    self._log.warning("port_taken", port=port)
+                    log.warning("port_taken", port=port)
                 await asyncio.sleep(LISTEN_PAUSE_S)
 
-    def _log_view(self) -> None:
-        if self._node is not None:
-            node = self._node
-            self._log.info("view", epoch=node.epoch, tail=node.tail, is_active_tail=node.is_tail)
-
     def _role_changed(self) -> None:
         """The tail of the active view reads the platform's list."""
         if self._client is not None and self._node is not None and not self._stopping:
@@ -267,25 +246,25 @@
 
     def _handle(self, peer: Address, message: Any, reply: Reply) -> None:
         node, pulls = self._node, self._pulls
-        if node is None or pulls is None or node.handle(peer, message, reply):
+        if node is None or node.handle(peer, message, reply):
             return
-        if not pulls.handle(peer, message, reply):
-            self._log.warning("record_unknown", record=type(message).__name__, peer=peer)
+        if pulls is not None and not pulls.handle(peer, message, reply):
+            log.warning("record_unknown", record=type(message).__name__, peer=peer)
 
     def _reload(self) -> None:
         path = os.environ.get(ENVIRONMENT_VARIABLE, DEFAULT_PATH)
         try:
             settings = load_settings(path)
         except SettingsError as error:
-            self._log.error("settings_unusable", faults=error.faults)
+            log.error("settings_unusable", faults=error.faults)
             return
         if self._node is not None and settings.seeds != self._settings.seeds:
             self._node.seeds_changed(settings)
         self._settings = settings
-        self._log.info("settings_read", seeds=len(settings.seeds))
+        log.info("settings_read", seeds=len(settings.seeds))
 
     async def _stop(self) -> None:
-        self._log.info("core_stopping")
+        log.info("core_stopping")
         if self._starting is not None:
             self._starting.cancel()
         if self._listening is not None:
@@ -303,8 +282,8 @@
                 async with asyncio.timeout(bound):
                     await self._node.stop()
             except TimeoutError:
-                self._log.warning("node_stop_overdue")
+                log.warning("node_stop_overdue")
         self._server.close()
         self._pool.close()
-        self._log.info("core_stopped")
+        log.info("core_stopped")
         self._halt()
--- a/roselink/control/node.py
+++ b/roselink/control/node.py
@@ -9,8 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-import structlog
-
+from roselink.control.event_log import log
 from roselink.control.storage import Storage, record_number
 from roselink.coordination.effects import (
     Confirmation,
@@ -30,8 +29,6 @@
 from roselink.protocol.chain import ConfigurationOrder, StoredState, View, Votes
 from roselink.protocol.peers import Address, PeerPool, Reply
 
-log = structlog.get_logger("roselink.control")
-
 LEAVE_S = 1.0
 _LEAVE_STEP_S = 0.02
 _SESSION_BITS = 61
@@ -51,7 +48,6 @@
         self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
         self._member: Member | None = None
         self._running = False
-        self._disk_jobs = 0
         self._logged_epoch = 0
         self._timer: asyncio.TimerHandle | None = None
         self._submits: dict[int, Callable[[SubmitOutcome], None]] = {}
@@ -160,11 +156,6 @@
         """Whether the disk took the last saves in time."""
         return self._member is not None and self._member.disk_fit
 
-    @property
-    def disk_idle(self) -> bool:
-        """Whether the disk's thread has nothing to do."""
-        return not self._disk_jobs
-
     # --- effects
 
     def _perform(self, effects: list[Effect]) -> None:
@@ -187,11 +178,13 @@
                     watcher()
 
     def _log_view(self, view: View) -> None:
-        """Say so once a view, not again when its chain becomes active."""
+        """Say once a view that it is agreed, and once at its tail that its chain is active."""
         if view.epoch != self._logged_epoch:
             self._logged_epoch = view.epoch
             chain = [link.voter.address for link in view.chain]
             log.info("view_changed", epoch=view.epoch, chain=chain, voters=len(view.voters))
+        if self.is_tail:
+            log.info("chain_active", epoch=view.epoch)
 
     def _tick(self) -> None:
         if self._member is None or not self._running:
@@ -206,7 +199,6 @@
             job()
 
     def _queue_job(self, job: Callable[[], None]) -> None:
-        self._disk_jobs += 1
         self._jobs.put(job)
 
     def _hand_back(self, step: Callable[..., None], *values: Any) -> None:
@@ -227,12 +219,10 @@
         self._hand_back(self._loaded, loaded)
 
     def _load_later(self) -> None:
-        self._disk_jobs -= 1
         if self._running:
             self._loop.call_later(0.2, self._queue_job, self._load)
 
     def _loaded(self, loaded: Loaded) -> None:
-        self._disk_jobs -= 1
         if not self._running:
             return
         settings = self._settings
@@ -264,7 +254,6 @@
         self._queue_job(job)
 
     def _saved(self, store: Store, well: bool) -> None:
-        self._disk_jobs -= 1
         if self._member is None or not self._running:
             return
         now = self._loop.time()
--- a/roselink/dataplane/engine.py
+++ b/roselink/dataplane/engine.py
@@ -23,6 +23,7 @@
     facts_of,
     give_up_at,
     judge,
+    unconfigured_retry_s,
 )
 from roselink.dataplane.attempts import Attempts
 from roselink.dataplane.exchange import ClientAnswer, Exchange
@@ -73,6 +74,7 @@
         self._random = random.Random(seed)
         self._numbers = itertools.count(1)
         self._queue = EventQueue(loop, decider, self._perform, self._fail)
+        self._began_at = loop.time()
         self._ends_at: float | None = None  # while draining: when all must have their answer
         self._topology: TopologyChanged | None = None
         self.table: RouteTable | None = None
@@ -107,10 +109,15 @@
         self.counts["requests"] += 1
         verdict = judge(self.table, self._authority.may_use_keys(), request)
         if isinstance(verdict, Refusal):
-            self._refuse(client, *verdict)
+            self._refuse(client, verdict.status, self._retry_after_s(verdict))
             return None
         return self._open(request, verdict, client)
 
+    def _retry_after_s(self, refusal: Refusal) -> float | None:
+        if self.table is None:
+            return unconfigured_retry_s(self._loop.time() - self._began_at)
+        return refusal.retry_after_s
+
     def _refuse(self, client: ClientAnswer, status: int, retry_after_s: float | None = None) -> None:
         self.counts[f"refused_{status}"] += 1
         client.own(status, retry_after_s)
@@ -150,6 +157,7 @@
             self._answer_own(exchange, 429, retry_after_s)
             return
         exchange.facts = facts_of(exchange)
+        exchange.counted = exchange.tenant is not None and exchange.tenant.rate_per_s > 0
         self.feed(RequestArrived(exchange.facts))
 
     def depart(self, exchange: Exchange) -> None:
@@ -273,6 +281,12 @@
         exchange.client.own(status, retry_after_s)
         self._close(exchange)
 
+    def _give_back(self, exchange: Exchange) -> None:
+        """What was counted for a request that has not run, and now never will, is free again."""
+        if exchange.counted and exchange.tenant is not None and not exchange.may_run:
+            exchange.counted = False
+            self._quotas.give_back(exchange.tenant, amount_of(exchange.request, exchange.tenant))
+
     def _close(self, exchange: Exchange) -> None:
         """It has its final answer, or nobody waits for one. The decider is told, and what is out ends."""
         exchange.closed = True
@@ -282,6 +296,7 @@
         if exchange.guard is not None:
             exchange.guard.cancel()
             exchange.guard = None
+        self._give_back(exchange)
         if exchange.facts is not None:
             self._queue.add(RequestClosed(exchange.number))
         for answer in list(exchange.attempts.values()):
--- a/roselink/dataplane/exchange.py
+++ b/roselink/dataplane/exchange.py
@@ -85,6 +85,7 @@
         self.sends = 0  # attempts asked for
         self.may_have_run = False  # by an attempt that has ended
         self.distrusted = False  # its key may not be used any more
+        self.counted = False  # against its tenant's quota
         self.held: HeldAnswer | None = None
         taken_up = request.last_event_id
         self.progress = Progress(int(taken_up) if taken_up.isdigit() and len(taken_up) < 19 else 0)
--- a/roselink/dataplane/interfaces.py
+++ b/roselink/dataplane/interfaces.py
@@ -40,6 +40,10 @@
         """Ask for `amount` requests or tokens; `decide(allowed, retry_after_s)` comes once, maybe later."""
         ...
 
+    def give_back(self, tenant: Tenant, amount: float) -> None:
+        """A request that was admitted for `amount` has not run and never will."""
+        ...
+
 
 class SharedBudget(Protocol):
     """The repeats that all gateways share, by service."""
--- a/roselink/membership/budget_service.py
+++ b/roselink/membership/budget_service.py
@@ -106,6 +106,7 @@
     def give_back(self, tenant: Tenant, amount: float) -> None:
         """A request that was admitted has not run and never will."""
         self._quota_client.give_back(tenant.name, amount, self._clock())
+        self._perform(())
 
     def ask(self, service: str, decide: DecideRepeat) -> None:
         """Decide whether one repeat may draw on the service's shared slack: `decide(allowed)`, once."""
--- a/tests/control/core_alone.py
+++ b/tests/control/core_alone.py
@@ -65,10 +65,6 @@
     def confirm(self, done: Callable[[Confirmation | None], None]) -> None:
         done(self.newest)
 
-    @property
-    def disk_idle(self) -> bool:
-        return True
-
     def on_view(self, callback: Callable[[], None]) -> None:
         pass
 
--- a/tests/dataplane/stage.py
+++ b/tests/dataplane/stage.py
@@ -160,6 +160,7 @@
     allowed: bool = True
     later: bool = False
     asked: list[tuple[str, float]] = field(default_factory=list)
+    given_back: list[tuple[str, float]] = field(default_factory=list)
 
     def admit(self, tenant: Tenant, amount: float, decide: Callable[[bool, float], None]) -> None:
         self.asked.append((tenant.name, amount))
@@ -168,6 +169,9 @@
         else:
             decide(self.allowed, 0.7)
 
+    def give_back(self, tenant: Tenant, amount: float) -> None:
+        self.given_back.append((tenant.name, amount))
+
 
 class FakeBudget:
     def ask(self, service: str, decide: Callable[[bool], None]) -> None:
--- a/tests/dataplane/test_pool.py
+++ b/tests/dataplane/test_pool.py
@@ -28,7 +28,7 @@
     stage,
     stream,
 )
-from tests.net import Behaviour, Message, NeverUp, hang, on_loop, reset, until
+from tests.net import Behaviour, Message, NeverUp, hang, on_loop, reset, say, until
 
 KEEPS = "Keep-Alive: timeout=9"
 
@@ -433,3 +433,30 @@
         assert len(s.decider.events) == told
         s.authority.tell(s.snapshot())
         assert len(s.decider.events) == told + 1
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x"])
+@on_loop
+async def test_what_has_not_run_is_given_back_to_its_quota(path: str) -> None:
+    async with stage(rejects()) as s, s.client() as client:
+        assert (await client.ask(path, X_Token_Usage="1460,80")).status == 503
+        assert s.quotas.given_back == s.quotas.asked == [("huka", 1540.0)]
+
+
+@pytest.mark.parametrize("behave", [plain(), plain(b"", "500 Fault"), say(b"", end=True), hang])
+@on_loop
+async def test_what_may_have_run_counts_against_its_quota(behave: Behaviour) -> None:
+    async with stage(behave) as s, s.client() as client:
+        await client.ask("/once/x", X_Request_Deadline="200")
+        await until(lambda: not s.plane.engine.open)
+        assert s.quotas.given_back == []
+
+
+@on_loop
+async def test_what_no_quota_counts_is_not_given_back() -> None:
+    async with stage(rejects()) as s, s.client() as client:
+        for asked in ({"path": "/open/x"}, {"key": "key-of-zoka"}):
+            assert (await client.ask(**asked)).status == 503
+        s.quotas.allowed = False
+        assert (await client.ask("/once/x")).status == 429
+        assert s.quotas.given_back == []
