--- a/roselink/dataplane/admission.py
+++ b/roselink/dataplane/admission.py
@@ -54,8 +54,9 @@
 
 
 def unconfigured_retry_s(age_s: float) -> float:
-    """When to come back to a gateway that has no configuration `age_s` seconds after its start. Alone it would
-    have one within a pull, so its control plane is starting too, or is out of reach."""
+    """When to come back to a gateway that has no configuration `age_s` seconds after its start.
+
+    Alone it would have one within a pull, so its control plane is starting too, or is out of reach."""
     if age_s <= FIRST_CONFIGURATION_S:
         return max(NOT_CONFIRMED_RETRY_S, FIRST_CONFIGURATION_S - age_s)
     return NOT_CONFIRMED_RETRY_S + min(LATER_MOST_S, LATER_PART * age_s)
