Views: a young view is not shortened while a member still takes over the state

Chain a, b with c just taken in; b is suspected falsely, the view a, c follows; a loses its disk before c has the state: nobody is intact in that view and the core waits for ever, with one loss counted. Ruled out: letting b head the next view as the one between was never active; c may take the old head's state from the network afterwards and show it, so c would have to be fenced first. Change: in the first second of a view no chain with fewer than tolerated + 1 intact members is proposed while one of its members is being brought up to date. A save's time limit grows with its bytes (4.5 MB: 0.22 s more).

--- a/roselink/coordination/member.py
+++ b/roselink/coordination/member.py
@@ -270,7 +270,7 @@
     def _enter(self, now: float) -> None:
         if self.view is None:
             raise AssertionError("no view to enter")
-        self.proposer.view_changed()
+        self.proposer.view_changed(now)
         self.reads.drop()
         self.orders.drop()
         self.chain.enter(self.view, self._fresh, now)
@@ -323,5 +323,5 @@
         effects, self._out.effects = self._out.effects, []
         for effect in effects:
             if isinstance(effect, Persist):
-                self.disk.began(now)
+                self.disk.began(now, len(effect.payload))
         return effects
--- a/roselink/coordination/peering.py
+++ b/roselink/coordination/peering.py
@@ -16,8 +16,9 @@
 STEADY_S = 0.3  # a machine that has been live and well for so long may join a chain
 FORGET_S = 10.0  # a machine that said nothing for so long is not known any more
 START_GRACE_S = 1.5  # after the start of a whole new system, machines may be slow to come up
-DISK_STUCK_S = 0.3  # a save that takes longer makes the disk unfit
-DISK_WELL_S = 0.2  # a save that takes no longer makes it fit again
+DISK_STUCK_S = 0.3  # a save that takes longer makes the disk unfit; and the time for its bytes
+DISK_WELL_S = 0.2  # a save that takes no longer makes it fit again; the same
+DISK_BYTES_S = 20e6  # the least that a healthy disk writes in a second
 
 
 @dataclass(slots=True)
@@ -117,40 +118,53 @@
     )
 
 
+@dataclass(slots=True)
+class _Save:
+    """A save that was asked for. `began_at`: when it was the disk's turn to take it; `size` in bytes."""
+
+    began_at: float
+    size: int
+
+    def within(self, limit_s: float, now: float) -> bool:
+        """Whether it has taken no longer than the limit and the time for its bytes."""
+        return now - self.began_at <= limit_s + self.size / DISK_BYTES_S
+
+
 @dataclass(slots=True)
 class DiskHealth:
     """Whether this machine's disk takes saves, judged by those that were asked of it."""
 
     fit: bool = True
     refusing: bool = False
-    _began: list[float] = field(default_factory=list)
+    _saves: list[_Save] = field(default_factory=list)
 
-    def began(self, now: float) -> None:
-        """A save was asked for."""
-        self._began.append(now)
+    def began(self, now: float, size: int) -> None:
+        """A save of so many bytes was asked for."""
+        self._saves.append(_Save(now, size))
 
     def ended(self, now: float, well: bool) -> None:
         """The oldest save has ended."""
-        began = self._began.pop(0)
-        if self._began:
-            self._began[0] = max(self._began[0], now)
+        save = self._saves.pop(0)
+        if self._saves:
+            self._saves[0].began_at = max(self._saves[0].began_at, now)
         self.refusing = not well
-        if not well or now - began > DISK_STUCK_S:
+        if not well or not save.within(DISK_STUCK_S, now):
             self.fit = False
-        elif now - began <= DISK_WELL_S:
+        elif save.within(DISK_WELL_S, now):
             self.fit = True
 
     def check(self, now: float) -> bool:
         """Whether the disk is fit now."""
-        if self._began and now - self._began[0] > DISK_STUCK_S:
+        if self._saves and not self._saves[0].within(DISK_STUCK_S, now):
             self.fit = False
         return self.fit
 
     @property
     def idle(self) -> bool:
         """Whether no save is under way."""
-        return not self._began
+        return not self._saves
 
     def skip(self, seconds: float, now: float) -> None:
         """This process did not run for so long."""
-        self._began = [min(now, at + seconds) for at in self._began]
+        for save in self._saves:
+            save.began_at = min(now, save.began_at + seconds)
--- a/roselink/coordination/proposing.py
+++ b/roselink/coordination/proposing.py
@@ -20,6 +20,7 @@
 ATTEMPT_S = 0.4  # an attempt without a majority for so long is given up; longer with each next one
 ATTEMPT_MOST_S = 1.6
 ASK_AGAIN_S = 0.15  # voters without an answer are asked again
+SETTLING_S = 1.0  # in a view so young, members that are new to the chain may still take over its state
 OUTSIDE_S = 1.0  # how much later members propose that see others content with the chain
 
 
@@ -38,9 +39,11 @@
     _wanted_since: float | None = None
     _open_since: float | None = None
     _not_before: float = float("-inf")
+    _view_since: float = float("-inf")
 
-    def view_changed(self) -> None:
+    def view_changed(self, now: float) -> None:
         """A newer view is known: the attempt is over."""
+        self._view_since = now
         self._attempt = None
         self._round = self._tries = 0
         self._wanted_since = self._open_since = None
@@ -65,7 +68,7 @@
         self, voting: Voting, view: View, peers: Mapping[str, Peer], outside: bool, now: float
     ) -> View | None:
         """The view to propose now."""
-        wanted = plan(view, peers, self.rules)
+        wanted = plan(view, peers, self.rules, now - self._view_since < SETTLING_S)
         self._wanted_since = _since(self._wanted_since, wanted is not None, now)
         self._open_since = _since(self._open_since, voting.accepted is not None, now)
         delay = self._rank(view, peers) * RANK_S
--- a/roselink/coordination/views.py
+++ b/roselink/coordination/views.py
@@ -22,6 +22,13 @@
 members that were in the chain before stay intact until they take over the new state. Whoever is not intact
 can only be synced.
 
+Why a young view waits: a member that is new to the chain is not intact before it has taken over the state.
+Were another suspected falsely just then, a shorter chain would rest on fewer intact members than may be lost,
+and the loss of those would leave a chain that nobody can head. The state comes from the head within some
+hundredths of a second, whether the suspected member lives or not; so for a while no chain is proposed that
+has fewer than `tolerated + 1` intact members while one of it still takes the state over. A member whose disk
+does not take it in that time counts as lost itself.
+
 Why a chain needs `tolerated + 1` members: what is acknowledged is on every disk of the chain, so it outlives
 the loss of any `tolerated` disks. A machine that is away counts as lost until `sync_s` after its return, and
 within that time it is back in the chain; so the disks that a shorter chain lacks are already counted. A chain
@@ -104,16 +111,16 @@
     return link is not None and peer.state_epoch >= link.since
 
 
-def plan(view: View, peers: Mapping[str, Peer], rules: Rules) -> View | None:
+def plan(view: View, peers: Mapping[str, Peer], rules: Rules, settling: bool = False) -> View | None:
     """The view that should follow, or None while the present one is the best that can be had.
 
-    `peers` has every known machine by address, the planner too.
+    `peers` has every known machine by address, the planner too. `settling`: the view is young.
     """
     if _complete(view, peers):
         return None
     voters = _plan_voters(view, peers, rules)
     chain = _plan_chain(view, voters, peers, rules)
-    if chain is None:
+    if chain is None or (settling and _takes_state_over(view, chain, peers, rules)):
         return None
     proposal = View(view.epoch + 1, voters, chain)
     same = {link.voter for link in chain} == {link.voter for link in view.chain}
@@ -207,6 +214,14 @@
     return None
 
 
+def _takes_state_over(view: View, chain: tuple[Link, ...], peers: Mapping[str, Peer], rules: Rules) -> bool:
+    """Whether a chain should wait for a member of it that the present view's head is bringing up to date."""
+    members = [peers[link.voter.address] for link in chain]
+    intact_members = sum(intact(view, peer) for peer in members)
+    behind = any(peer.taking_part and peer.epoch == view.epoch and not intact(view, peer) for peer in members)
+    return behind and intact_members <= rules.tolerated
+
+
 def _all_hear(group: tuple[Peer, ...]) -> bool:
     return all(
         left.voter.address in right.heard and right.voter.address in left.heard
--- a/tests/coordination/test_views.py
+++ b/tests/coordination/test_views.py
@@ -148,6 +148,52 @@
     assert planned(view, tolerated, *peers) == expected
 
 
+GROWN = View(5, THREE.voters, (*SHORT.chain[:1], Link(Voter("c", 0), 5, 1), *SHORT.chain[1:]))
+NEW_C = peer("c", epoch=5, state_epoch=4)
+
+
+@pytest.mark.parametrize(
+    ("tolerated", "peers", "expected"),
+    [
+        pytest.param(1, (peer("a", epoch=5), gone("b"), NEW_C), None, id="a new member takes the state over"),
+        pytest.param(
+            1, (peer("a", epoch=5), gone("b"), replace(NEW_C, state_epoch=5)), ("abc", "ac"), id="it has it"
+        ),
+        pytest.param(
+            1, (peer("a", epoch=5), peer("b", epoch=5, disk_ok=False), NEW_C), None, id="bad disk: the same"
+        ),
+        pytest.param(
+            1, (peer("a", epoch=5), peer("b", epoch=5, leaving=True), NEW_C), None, id="leaving: the same"
+        ),
+        pytest.param(
+            1,
+            (peer("a", epoch=5), peer("b", epoch=5), replace(NEW_C, disk_ok=False)),
+            ("abc", "ab"),
+            id="enough others",
+        ),
+        pytest.param(
+            1,
+            (peer("a", epoch=5), gone("b"), replace(NEW_C, session=9, taking_part=False)),
+            ("abc", "ac"),
+            id="a new process of it waits for the next view",
+        ),
+    ],
+)
+def test_a_young_view_waits_for_who_takes_the_state_over(
+    tolerated: int, peers: tuple[Peer, ...], expected: tuple[str, str] | None
+) -> None:
+    """Else the loss of the one intact member would leave a chain that nobody can head."""
+    proposal = plan(GROWN, picture(*peers), Rules(tolerated), settling=True)
+    later = plan(GROWN, picture(*peers), Rules(tolerated), settling=False)
+    assert later is not None
+    if expected is None:
+        assert proposal is None
+        return
+    assert proposal == later
+    assert "".join(voter.address for voter in proposal.voters) == expected[0]
+    assert "".join(link.voter.address for link in proposal.chain) == expected[1]
+
+
 def test_since_is_kept_by_those_who_stay_and_new_for_the_others() -> None:
     proposal = plan(SHORT, picture(*AB, peer("c", epoch=4, taking_part=False, session=9)), Rules(1))
     assert proposal is not None
