Simulation: a disk in memory that knows what was synced, under the real Storage

Cause: the tests of saves drew torn states, and the simulation's disk took a save whole or not at all. Tests: a save cut off, or refused, at each step; all states up to a bound, then drawn. The older tests stay.

--- a/roselink/control/storage.py
+++ b/roselink/control/storage.py
@@ -16,6 +16,7 @@
 import os
 import struct
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from roselink.coordination.effects import Store
 from roselink.protocol.chain import StoredState, Votes
@@ -26,6 +27,35 @@
 _PARTS = (".dat", ".dir", ".bak")
 
 
+class Database(Protocol):
+    """One open database of `dbm.dumb`."""
+
+    def __getitem__(self, key: bytes) -> bytes: ...
+
+    def __setitem__(self, key: bytes, value: bytes) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class FileSystem(Protocol):
+    """What `Storage` needs of files. Every method raises OSError when the disk refuses."""
+
+    def make_folder(self, folder: str) -> None:
+        """Make a folder that may be there already."""
+
+    def names(self, folder: str) -> list[str]:
+        """The names of the files in a folder."""
+
+    def remove(self, path: str) -> None:
+        """Remove a file."""
+
+    def sync(self, path: str) -> None:
+        """Make a file's bytes, or a folder's names, outlive a loss of power."""
+
+    def database(self, base: str, flag: str) -> Database:
+        """Open the database of these files: `n` for a new one, `r` to read."""
+
+
 class _Files(dbm.dumb._Database):
     """`dbm.dumb` without setting file modes, which a machine's disk may not offer."""
 
@@ -33,16 +63,41 @@
         """The process's own mode stands."""
 
 
+class LocalFiles:
+    """The files of this machine."""
+
+    def make_folder(self, folder: str) -> None:
+        """Make a folder that may be there already."""
+        os.makedirs(folder, exist_ok=True)
+
+    def names(self, folder: str) -> list[str]:
+        """The names of the files in a folder."""
+        return os.listdir(folder)
+
+    def remove(self, path: str) -> None:
+        """Remove a file."""
+        os.remove(path)
+
+    def sync(self, path: str) -> None:
+        """Make a file's bytes, or a folder's names, outlive a loss of power."""
+        _sync(path)
+
+    def database(self, base: str, flag: str) -> Database:
+        """Open the database of these files: `n` for a new one, `r` to read."""
+        return _Files(base, "", flag)
+
+
 @dataclass(slots=True)
 class Storage:
     """The records in one folder. Methods raise OSError when the disk refuses."""
 
     folder: str
+    files: FileSystem = field(default_factory=LocalFiles)
     _newest: dict[Store, int] = field(default_factory=dict)
 
     def load(self) -> tuple[Votes | None, StoredState | None]:
         """What the disk holds; both are None unless both are whole."""
-        os.makedirs(self.folder, exist_ok=True)
+        self.files.make_folder(self.folder)
         votes, state = self._load(Store.VOTES), self._load(Store.STATE)
         if isinstance(votes, Votes) and isinstance(state, StoredState):
             return votes, state
@@ -65,17 +120,17 @@
     def _write(self, base: str, number: int, record: int, payload: bytes) -> None:
         self._fill(base, _HEAD.pack(number, record, _checksum(number, record, payload)) + payload)
         for part in (".dat", ".dir"):
-            _sync(base + part)
-        _sync(self.folder)
+            self.files.sync(base + part)
+        self.files.sync(self.folder)
 
     def _fill(self, base: str, value: bytes) -> None:
-        files = _Files(base, "", "n")
+        files = self.files.database(base, "n")
         try:
             files[_KEY] = value
         finally:
             files.close()
         with contextlib.suppress(FileNotFoundError):
-            os.remove(base + ".bak")
+            self.files.remove(base + ".bak")
 
     def _load(self, store: Store) -> object:
         numbers = self._numbers(store)
@@ -89,7 +144,7 @@
     def _read(self, store: Store, number: int) -> object:
         """The record of one generation, or None when it isn't whole. OSError: nothing is known of it."""
         try:
-            files = _Files(self._base(store, number), "", "r")
+            files = self.files.database(self._base(store, number), "r")
             try:
                 value = files[_KEY]
             finally:
@@ -105,7 +160,7 @@
     def _numbers(self, store: Store) -> list[int]:
         """The numbers of all generations that have any file, whole or not."""
         numbers = set()
-        for name in os.listdir(self.folder):
+        for name in self.files.names(self.folder):
             stem, part = os.path.splitext(name)
             kind, dash, number = stem.rpartition("-")
             if dash and kind == store.value and part in _PARTS and number.isdigit():
@@ -118,7 +173,7 @@
     def _remove(self, base: str) -> None:
         for part in _PARTS:
             with contextlib.suppress(OSError):
-                os.remove(base + part)
+                self.files.remove(base + part)
 
 
 def record_number(store: Store) -> int:
--- /dev/null
+++ b/tests/simulation/test_disk.py
@@ -0,0 +1,165 @@
+"""Saves that end at any step, by a kill or a loss of power, over every state that the disk may be left in."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from roselink.control.storage import Storage, record_number
+from roselink.coordination.effects import Store
+from roselink.protocol.chain import ConfigurationState, StoredState, View, Voter, Votes
+from roselink.protocol.records import encode
+from roselink.simulation.disk import FOLDER, Broken, Kept, MemoryFiles, Write, disk_full
+
+VOTER = Voter("10.0.0.1:7500", 7)
+DRAWN = 150  # states after each step, drawn where there are more
+DRAWN_ON_DEMAND = 30_000  # the same with `many_seeds`: nearly all are enumerated
+STEPS = 30  # more than a save has
+BOUNDS = [DRAWN, pytest.param(DRAWN_ON_DEMAND, marks=pytest.mark.many_seeds)]
+
+
+def votes(round_number: int) -> Votes:
+    return Votes(VOTER, View(round_number, (VOTER,), ()), None, None, None)
+
+
+def state(sequence: int) -> StoredState:
+    return StoredState(3, ConfigurationState(sequence, sequence, b"document" * 20, b"h" * sequence))
+
+
+def saved(files: MemoryFiles) -> Storage:
+    """Both records, each saved twice."""
+    storage = Storage(FOLDER, files)
+    assert storage.load() == (None, None)
+    for number in (1, 2):
+        save(storage, Store.VOTES, number)
+        save(storage, Store.STATE, number)
+    return storage
+
+
+def save(storage: Storage, store: Store, number: int) -> None:
+    record = votes(number) if store is Store.VOTES else state(number)
+    storage.save(store, record_number(store), encode(record))
+
+
+def load(contents: dict[str, bytes]) -> tuple[Votes | None, StoredState | None]:
+    files = MemoryFiles()
+    files.hold(contents)
+    return Storage(FOLDER, files).load()
+
+
+def remains(files: MemoryFiles, draw: random.Random, most: int) -> list[dict[str, bytes]]:
+    """All that a loss of power may leave, or so many drawn of it, each once."""
+    if files.count_remains() <= most:
+        found = list(files.remains())
+    else:
+        found = [files.drawn(draw) for _ in range(most)]
+    return [dict(each) for each in {tuple(contents.items()) for contents in found}]
+
+
+@pytest.mark.parametrize(
+    ("kept", "content"), [(Kept.WHOLE, b"abXYZ"), (Kept.MISSING, b"abcd"), (Kept.TORN, b"abXd")]
+)
+def test_what_is_left_of_a_write(kept: Kept, content: bytes) -> None:
+    assert Write(2, b"XYZ").apply(b"abcd", kept) == content
+
+
+def test_only_what_was_synced_is_sure() -> None:
+    files = MemoryFiles()
+    with files.open(f"{FOLDER}/a", "w") as opened:
+        opened.write("one")
+    assert {} in list(files.remains())
+    files.sync(f"{FOLDER}/a")
+    assert list(files.remains()) == [{"a": b"one"}, {}]
+    files.sync(FOLDER)
+    assert list(files.remains()) == [{"a": b"one"}]
+    files.rename(f"{FOLDER}/a", f"{FOLDER}/b")
+    found = list(files.remains())
+    assert {"a": b"one"} in found
+    assert {"b": b"one"} in found
+    assert {} in found  # a rename is two names, each kept or lost by itself
+
+
+@pytest.mark.parametrize("most", BOUNDS)
+@pytest.mark.parametrize("store", list(Store))
+@pytest.mark.parametrize("at", range(1, STEPS))
+def test_a_save_cut_off_at_any_step(store: Store, at: int, most: int) -> None:
+    """A load gives the last durable record or the one under way, never less and never a mix."""
+    files = MemoryFiles()
+    storage = saved(files)
+    files.fail(at, Broken, on=True)
+    ended = True
+    try:
+        save(storage, store, 3)
+    except Broken:
+        ended = False
+    files.heal()
+    allowed = {3} if ended else {2, 3}
+    survivors = [{name: file.content for name, file in files.present.items()}]
+    survivors += remains(files, random.Random(at), most)
+    for contents in survivors:
+        kept_votes, kept_state = load(contents)
+        assert kept_votes is not None and kept_votes.view is not None
+        assert kept_state is not None
+        newest = kept_votes.view.epoch if store is Store.VOTES else kept_state.state.sequence
+        other = kept_state.state.sequence if store is Store.VOTES else kept_votes.view.epoch
+        assert newest in allowed
+        assert other == 2
+        assert kept_votes == votes(kept_votes.view.epoch)
+        assert kept_state == state(kept_state.state.sequence)
+
+
+@pytest.mark.parametrize("most", BOUNDS)
+@pytest.mark.parametrize("store", list(Store))
+@pytest.mark.parametrize("at", range(1, STEPS))
+@pytest.mark.parametrize("on", [False, True])
+def test_a_disk_that_refuses_at_any_step(store: Store, at: int, on: bool, most: int) -> None:
+    """Power may be lost after the refusal, and after the next save."""
+    files = MemoryFiles()
+    storage = saved(files)
+    files.fail(at, disk_full, on)
+    ended = True
+    try:
+        save(storage, store, 3)
+    except OSError:
+        ended = False
+    files.heal()
+    for contents in remains(files, random.Random(at), most):
+        kept_votes, kept_state = load(contents)
+        assert kept_votes is not None and kept_votes.view is not None
+        assert kept_state is not None
+        newest = kept_votes.view.epoch if store is Store.VOTES else kept_state.state.sequence
+        assert newest in ({3} if ended else {2, 3})
+    save(storage, store, 4)
+    for contents in remains(files, random.Random(at), most):
+        kept_votes, kept_state = load(contents)
+        assert kept_votes is not None and kept_votes.view is not None
+        assert kept_state is not None
+        assert (kept_votes.view.epoch if store is Store.VOTES else kept_state.state.sequence) == 4
+
+
+def test_the_steps_cover_a_whole_save() -> None:
+    files = MemoryFiles()
+    storage = saved(files)
+    files.steps = 0
+    save(storage, Store.STATE, 3)
+    assert 10 < files.steps < STEPS
+
+
+@pytest.mark.parametrize("cut_at", range(1, STEPS))
+def test_a_member_that_ends_in_its_first_saves_is_nobody_yet(cut_at: int) -> None:
+    """Until both records are durable a restart finds neither."""
+    files = MemoryFiles()
+    storage = Storage(FOLDER, files)
+    storage.load()
+    save(storage, Store.STATE, 1)
+    files.fail(cut_at, Broken, on=True)
+    ended = True
+    try:
+        save(storage, Store.VOTES, 1)
+    except Broken:
+        ended = False
+    files.heal()
+    for contents in remains(files, random.Random(cut_at), DRAWN):
+        found = load(contents)
+        assert found in ([(votes(1), state(1))] if ended else [(None, None), (votes(1), state(1))])
