Simulation: a package with gateways, loss of power, a long cut, repairs, and a judge of histories

Cause: the simulation stood among the tests, knew no gateway and no loss of power, and its checker read sequences that the code under test had given out. Change: roselink/simulation has the world, operators that send to two members at once and old orders again, gateways on the real PullMachine and PullDesk (sent on by members, frozen, cut off, started anew), the platform's list, and a judge of whole histories that knows only versions, times and answers.

--- a/tests/coordination/test_simulation.py
+++ b/tests/simulation/test_days.py
@@ -7,8 +7,18 @@
 from roselink.coordination.effects import SubmitOutcome, TakenOrder
 from roselink.coordination.state import digest_of
 from roselink.protocol.chain import ConfigurationOrder
-from tests.coordination.simulation import Machine, World
-from tests.coordination.troubles import harm, in_chain, mend, read, storm_day, trouble_day
+from roselink.simulation.days import (
+    day_of_seed,
+    harm,
+    in_chain,
+    long_cut_day,
+    mend,
+    read,
+    repair_day,
+    storm_day,
+    trouble_day,
+)
+from roselink.simulation.world import Machine, World
 
 
 def order_on(base: int, generation: int) -> ConfigurationOrder:
@@ -179,16 +189,27 @@
     trouble_day(seed, 5, 2, lossy=bool(seed % 2))
 
 
+@pytest.mark.parametrize("seed", range(400, 403))
+def test_eight_machines_of_which_three_are_seeds(seed: int) -> None:
+    trouble_day(seed, 8, 2, lossy=False, episodes=4)
+
+
 @pytest.mark.parametrize("seed", range(300, 312))
 def test_storms(seed: int) -> None:
     storm_day(seed, 3 + seed % 3, 1)
 
 
+@pytest.mark.parametrize("seed", range(500, 508))
+def test_a_member_cut_off_for_twenty_seconds(seed: int) -> None:
+    long_cut_day(seed, 3 + seed % 2)
+
+
+@pytest.mark.parametrize("seed", range(600, 608))
+def test_one_repair_after_the_other(seed: int) -> None:
+    repair_day(seed, 3 + seed % 2)
+
+
 @pytest.mark.many_seeds
-@pytest.mark.parametrize("seed", range(1000, 1400))
+@pytest.mark.parametrize("seed", range(1000, 5000))
 def test_many_days(seed: int) -> None:
-    if seed % 4 == 0:
-        storm_day(seed, 3 + seed % 3, 1)
-    else:
-        machines = 3 + seed % 3
-        trouble_day(seed, machines, 2 if machines == 5 else 1, lossy=bool(seed % 2))
+    day_of_seed(seed)
