Tests: guards of the data plane that nothing held, each on real sockets; simulate as a command

Cause: five guards could be removed without a failing test: the time handed to a host, streams that may not be resumed, a gap in events, clients that had left, long requests that fail while they are written.

--- a/roselink/cli.py
+++ b/roselink/cli.py
@@ -17,6 +17,7 @@
 
 EXIT_UNAVAILABLE = 1
 EXIT_FAULTS = 2
+MOST_MACHINES = 9  # that vote
 
 
 def check(file: Path) -> int:
@@ -87,6 +88,21 @@
     return EXIT_UNAVAILABLE if report.trouble is not None or report.late else 0
 
 
+def simulate(*, seed: int = 1, days: int = 1, machines: int | None = None, jobs: int = 1) -> int:
+    """Play days of troubles on a simulated control plane, and judge all that its callers were told.
+
+    :param seed: of the first day; the next have the next ones
+    :param days: how many days
+    :param machines: of the core; left out, size and kind of day follow from the seed
+    :param jobs: how many days at a time
+    """
+    from roselink.simulation.command import play_days
+
+    if days < 1 or jobs < 1 or (machines is not None and not 1 <= machines <= MOST_MACHINES):
+        return _report([f"days and jobs: 1 at least; machines: 1 to {MOST_MACHINES}"])
+    return EXIT_UNAVAILABLE if play_days(seed, days, machines, jobs, _say) else 0
+
+
 def _say(line: str) -> None:
     sys.stdout.write(line + "\n")
     sys.stdout.flush()
@@ -100,5 +116,5 @@
 
 def run_command(arguments: list[str]) -> int:
     """Run one of the commands above; the exit status."""
-    result = defopt.run([check, status, lab], argv=arguments, short={})
+    result = defopt.run([check, status, lab, simulate], argv=arguments, short={})
     return int(result or 0)
--- /dev/null
+++ b/tests/cli/test_simulate.py
@@ -0,0 +1,45 @@
+"""`simulate`: a day that holds, one that does not, and what it refuses to begin."""
+
+from __future__ import annotations
+
+import pytest
+
+from roselink.__main__ import main
+from roselink.cli import EXIT_FAULTS, EXIT_UNAVAILABLE
+from roselink.simulation import command
+from roselink.simulation.command import Order, Outcome, play
+from roselink.simulation.days import DayFailed, Played
+from roselink.simulation.history import Violation
+
+
+def test_a_day_that_holds(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["simulate", "--seed", "3"]) == 0
+    assert "1 days, 0 failed" in capsys.readouterr().out
+
+
+def test_a_failing_seed_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fails(seed: int) -> Played:
+        raise DayFailed("no explanation", (Violation("an old configuration was shown", "3 at 7"),))
+
+    monkeypatch.setattr(command, "day_of_seed", fails)
+    outcome = play(Order(7, None))
+    assert outcome.why is not None
+    assert "an old configuration was shown: 3 at 7" in outcome.why
+
+
+def test_failures_decide_the_exit_status(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(command, "play_days", lambda seed, days, machines, jobs, say: 1)
+    assert main(["simulate", "--days", "2"]) == EXIT_UNAVAILABLE
+
+
+@pytest.mark.parametrize("arguments", [["--days", "0"], ["--jobs", "0"], ["--machines", "10"]])
+def test_what_can_not_be_played(arguments: list[str]) -> None:
+    assert main(["simulate", *arguments]) == EXIT_FAULTS
+
+
+@pytest.mark.parametrize(("seed", "machines"), [(2, 4), (5, 3)])
+def test_the_size_may_be_told(seed: int, machines: int) -> None:
+    outcome = play(Order(seed, machines))
+    assert outcome == Outcome(seed, outcome.played, None)
--- /dev/null
+++ b/tests/dataplane/test_guards.py
@@ -0,0 +1,265 @@
+"""What the data plane holds to whatever its decider says: the client's time, one run, whole streams."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from roselink.dataplane import upstream
+from roselink.dataplane.exchange import ClientAnswer
+from roselink.dataplane.requests import Headers, read_request
+from roselink.dataplane.upstream import PROVEN_LIMIT
+from roselink.gateway import upstream as base
+from roselink.routing.decisions import Action, AttemptEnded
+from roselink.routing.interface import Outcome
+from tests.dataplane.stage import (
+    KEY,
+    FakeDecider,
+    Stage,
+    event,
+    head,
+    host_line,
+    plain,
+    rejects,
+    sse,
+    stage,
+    stream,
+)
+from tests.dataplane.stage import chunk as chunk_of
+from tests.net import Behaviour, Message, hang, on_loop, reset, until
+
+PAUSE_S = 0.2
+MARGIN_MS = 120  # for the machine that runs the test
+
+
+class Greedy(FakeDecider):
+    """Sends again at every end, and resumes whatever has begun."""
+
+    def ended(self, told: AttemptEnded) -> list[Action]:
+        self.out[told.number] -= 1
+        if told.outcome is Outcome.SUCCESS or told.relayed or self.sent[told.number] > 4:
+            return []
+        return [self.send(told.number, told.progressed)]
+
+
+def handed_ms(s: Stage, host: int) -> int:
+    return int(s.hosts[host].seen[0].headers["x-request-deadline"])
+
+
+# Time.
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x", "/plan/x", "/chat/x"])
+@on_loop
+async def test_each_host_is_handed_only_what_is_left(path: str) -> None:
+    async def slowly(message: Message, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(PAUSE_S)
+        await rejects()(message, writer)
+
+    last = stream(2) if path in ("/plan/x", "/chat/x") else plain()
+    async with stage(slowly, slowly, last) as s, s.client() as client:
+        assert (await client.ask(path, X_Request_Deadline="1000")).status == 200
+        told = [handed_ms(s, host) for host in range(3)]
+        for attempt, left_ms in enumerate(told):
+            most = 1000 - attempt * PAUSE_S * 1000
+            assert most - MARGIN_MS < left_ms < most
+
+
+@pytest.mark.parametrize(("path", "most"), [("/brief/x", 300), ("/safe/x", 15000), ("/chat/x", 15000)])
+@on_loop
+async def test_a_host_is_handed_no_more_than_its_route_allows(path: str, most: int) -> None:
+    last = stream(2) if path == "/chat/x" else plain()
+    async with stage(last) as s, s.client() as client:
+        assert (await client.ask(path, X_Request_Deadline="60000")).status == 200
+        assert most - MARGIN_MS < handed_ms(s, 0) < most
+        await client.ask(path, X_Request_Deadline=None)
+        assert int(s.hosts[0].seen[1].headers["x-request-deadline"]) < most
+
+
+@on_loop
+async def test_a_resumed_stream_is_handed_only_what_is_left() -> None:
+    async def slowly(message: Message, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(PAUSE_S)
+        await stream(4, cut_after=2)(message, writer)
+
+    async with stage(slowly, stream(4)) as s, s.client() as client:
+        assert (await client.ask("/chat/x", X_Request_Deadline="1000")).ids == [1, 2, 3, 4]
+        assert handed_ms(s, 1) < 1000 - PAUSE_S * 1000
+
+
+@on_loop
+async def test_nothing_is_sent_once_the_time_is_up() -> None:
+    async def late(message: Message, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.3)
+        await rejects()(message, writer)
+
+    async with stage(late, plain()) as s, s.client() as client:
+        assert (await client.ask("/safe/x", X_Request_Deadline="200")).status == 504
+        await asyncio.sleep(0.3)
+        assert not s.hosts[1].seen
+
+
+# No second run.
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/plan/x"])
+@pytest.mark.parametrize("behave", [hang, plain(b"x", "500 Fault"), plain(stamp=False)])
+@on_loop
+async def test_what_may_have_run_is_sent_to_nobody_else_whatever_the_decider_says(
+    path: str, behave: Behaviour
+) -> None:
+    decider = Greedy()
+    decider.hedges = 1
+    async with stage(behave, plain(), by=decider) as s, s.client() as client:
+        await client.ask(path, X_Request_Deadline="200")
+        assert len(s.hosts[0].seen) == 1
+        assert not s.hosts[1].seen
+
+
+@on_loop
+async def test_a_stream_that_may_not_resume_is_resumed_by_nobody_whatever_the_decider_says() -> None:
+    async with stage(stream(5, cut_after=2), stream(5), by=Greedy()) as s, s.client() as client:
+        got = await client.ask("/plan/x")
+        assert (got.whole, got.ids) == (False, [1, 2])
+        assert not s.hosts[1].seen
+
+
+@on_loop
+async def test_a_stream_without_ids_is_resumed_by_nobody() -> None:
+    async def unnumbered(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(sse(message) + chunk_of(b"data: one\n\n"))
+        await asyncio.sleep(0.03)
+        writer.close()
+
+    async with stage(unnumbered, stream(3), by=Greedy()) as s, s.client() as client:
+        got = await client.ask("/chat/x")
+        assert (got.whole, got.body) == (False, b"data: one\n\n")
+        assert not s.hosts[1].seen
+
+
+@on_loop
+async def test_an_answer_that_has_begun_and_is_no_stream_is_begun_by_nobody_else() -> None:
+    async def cut(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(head(message) + b"Content-Length: 900000\r\n\r\n" + bytes(400_000))
+        await asyncio.sleep(0.05)
+        writer.close()
+
+    async with stage(cut, plain(), by=Greedy()) as s, s.client() as client:
+        assert not (await client.ask("/safe/x")).whole
+        assert not s.hosts[1].seen
+
+
+async def resets_unread(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Takes some of a request, and breaks off while the rest is being written."""
+    await reader.read(1000)
+    reset(writer)
+
+
+@pytest.mark.parametrize("size", [40 * PROVEN_LIMIT, 100 * PROVEN_LIMIT])
+@on_loop
+async def test_a_long_request_that_fails_while_it_is_written_may_have_run(size: int) -> None:
+    listener = await asyncio.start_server(resets_unread, "127.0.0.1", 0, limit=1024)
+    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    async with stage(plain(), plain(), limits={"max_body_bytes": 200 * PROVEN_LIMIT}) as s:
+        breaking = host_line(s.hosts[0], id="i-breaking", address=address)
+        lines = (breaking, host_line(s.hosts[1]))
+        s.authority.tell(s.snapshot(*lines, limits={"max_body_bytes": 200 * PROVEN_LIMIT}))
+        async with s.client() as client:
+            assert (await client.ask("/once/x", body=bytes(size))).status == 502
+        assert not s.hosts[1].seen
+        assert [end.outcome for end in s.decider.ends()] == [Outcome.RESET]
+    listener.close()
+
+
+# Clients that leave.
+
+
+class GoneClient:
+    """A client that has left, though the loop has not told so yet."""
+
+    def __init__(self) -> None:
+        self.answers: list[int] = []
+
+    def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        self.answers.append(status)
+
+    def own(self, status: int, retry_after_s: float | None = None) -> None:
+        self.answers.append(status)
+
+    def begin(self, status: int, headers: Headers, length: int | None) -> None:
+        self.answers.append(status)
+
+    def part(self, data: bytes) -> None: ...
+
+    def end(self) -> None: ...
+
+    def cut(self) -> None: ...
+
+    def gone(self) -> bool:
+        return True
+
+    def waits(self) -> bool:
+        return False
+
+
+@pytest.mark.parametrize("path", [b"/once/x", b"/safe/x", b"/chat/x"])
+@pytest.mark.parametrize("warm", [False, True])
+@on_loop
+async def test_nothing_is_sent_for_a_client_that_has_left(path: bytes, warm: bool) -> None:
+    async with stage(plain(b"ok", "200 OK", "Keep-Alive: timeout=9")) as s:
+        if warm:
+            async with s.client() as client:
+                assert (await client.ask("/safe/x")).status == 200
+        before = len(s.hosts[0].seen)
+        client_left: ClientAnswer = GoneClient()
+        headers = [
+            (b"Host", b"ficu.example"),
+            (b"X-Request-Id", b"left"),
+            (b"Authorization", b"Bearer " + KEY.encode()),
+        ]
+        request = read_request(b"POST", path, headers, b"", asyncio.get_running_loop().time())
+        s.plane.engine.accept(request, client_left)
+        await until(lambda: not s.plane.engine.open)
+        await asyncio.sleep(0.05)
+        assert len(s.hosts[0].seen) == before
+        assert s.plane.engine.counts["departed"] == 1
+        assert s.quotas.given_back == [("huka", 200.0)]
+
+
+# Streams without a gap.
+
+
+@on_loop
+async def test_a_resumed_stream_that_leaves_events_out_is_cut_off_before_them() -> None:
+    async def skips(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(sse(message) + chunk_of(event(4)) + chunk_of(event(5)))
+        writer.write(b"0\r\n\r\n")
+
+    async with stage(stream(5, cut_after=2), skips, skips) as s, s.client() as client:
+        got = await client.ask("/chat/x")
+        assert (got.whole, got.ids) == (False, [1, 2])
+        spoilt = [end.outcome for end in s.decider.ends()[1:]]
+        assert spoilt
+        assert set(spoilt) == {Outcome.RESET}  # and no success for a host that skipped
+
+
+@pytest.mark.parametrize("settle", [0.0, 0.05])
+@on_loop
+async def test_bytes_that_come_right_behind_an_answer_reach_nobody(
+    settle: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(base, "SETTLE_S", settle)
+    monkeypatch.setattr(upstream, "ONCE_IDLE_S", 1.0)
+
+    async def doubled(message: Message, writer: asyncio.StreamWriter) -> None:
+        answered = head(message, "200 OK", "Keep-Alive: timeout=9") + b"Content-Length: 4\r\n\r\n"
+        writer.write(answered + b"mine")
+        await asyncio.sleep(0.01)
+        writer.write(answered + b"more")
+
+    async with stage(doubled) as s, s.client() as client:
+        for _ in range(4):
+            got = await client.ask("/once/x")
+            assert (got.status, got.body) == (200, b"mine")
+            await asyncio.sleep(0.03)
