--- a/roselink/coordination/chain.py
+++ b/roselink/coordination/chain.py
@@ -102,16 +102,17 @@
             self._save()
             self._advance(now)
 
-    def on_sync(self, message: Sync) -> None:
-        """The state with which the epoch begins, from the predecessor."""
+    def on_sync(self, message: Sync, now: float) -> bool:
+        """The state with which the epoch begins, from the predecessor; whether it committed anything."""
         if not self._from(self._predecessor, message.sender, message.epoch):
-            return
+            return False
         if self.synced:
             self._acknowledge()
-            return
+            return False
         self.synced = True
         self.applied, self.applied_epoch = message.state, message.epoch
         self._save()
+        return self._saving is None and self._advance(now)
 
     def on_write(self, message: Write) -> None:
         """A change, from the predecessor; one that isn't next is passed over, and comes again."""
--- a/roselink/coordination/member.py
+++ b/roselink/coordination/member.py
@@ -231,6 +231,10 @@
             self.chain.on_persist_failed()
         return self._flush(now)
 
+    def take_effects(self, now: float) -> list[Effect]:
+        """What a call to one of this member's parts has brought about."""
+        return self._flush(now)
+
     # --- saves
 
     def _first_saved(self, store: Store, now: float) -> None:
--- a/roselink/coordination/messages.py
+++ b/roselink/coordination/messages.py
@@ -95,7 +95,8 @@
 
     def _on_sync(self, message: Sync, now: float) -> None:
         self.follow(message.view, now)
-        self.chain.on_sync(message)
+        if self.chain.on_sync(message, now):
+            self.committed(now)
 
     def _on_write(self, message: Write, now: float) -> None:
         self.chain.on_write(message)
--- a/roselink/coordination/proposing.py
+++ b/roselink/coordination/proposing.py
@@ -62,7 +62,7 @@
             self._not_before = now + self._spread(self._tries)
         wanted = self._due(voting, view, peers, outside, now)
         if wanted is not None and now >= self._not_before and _reaches_majority(view, peers):
-            self._begin(voting, view, wanted, now)
+            self.propose(voting, view, wanted, now)
 
     def _due(
         self, voting: Voting, view: View, peers: Mapping[str, Peer], outside: bool, now: float
@@ -89,7 +89,8 @@
         """A delay that differs between proposers."""
         return ((self.session >> (tries % 8)) % 97) / 97 * 0.1 * min(tries + 1, 4)
 
-    def _begin(self, voting: Voting, view: View, wanted: View, now: float) -> None:
+    def propose(self, voting: Voting, view: View, wanted: View, now: float) -> None:
+        """Begin an attempt to have a view follow the present one."""
         promised = voting.promised.round if voting.promised is not None else 0
         self._round = max(self._round, promised) + 1
         self._tries += 1
--- a/tests/coordination/test_chain.py
+++ b/tests/coordination/test_chain.py
@@ -65,7 +65,7 @@
 def middle() -> Stage:
     """The middle member, synced and active."""
     stage = Stage(B)
-    stage.member.on_sync(SYNC)
+    stage.member.on_sync(SYNC, 0.0)
     stage.saved()
     stage.member.on_ack(Ack(C, 3, 1))
     stage.out()
@@ -90,15 +90,23 @@
 
 def test_a_member_saves_before_it_passes_on() -> None:
     stage = Stage(B)
-    stage.member.on_sync(SYNC)
+    stage.member.on_sync(SYNC, 0.0)
     assert stage.out() == [Persist(Store.STATE, encode(StoredState(3, STATE)))]
     assert stage.saved() == [("c", sync(B, 3, STATE))]
     assert not stage.member.active
 
 
+def test_a_state_that_is_on_the_disk_is_passed_on_at_once() -> None:
+    stage = Stage(B)
+    stage.member.durable = stage.member.applied = STATE
+    stage.member.durable_epoch = stage.member.applied_epoch = 3
+    assert not stage.member.on_sync(SYNC, 0.0)
+    assert stage.sent() == [("c", sync(B, 3, STATE))]
+
+
 def test_the_tail_commits_with_its_save() -> None:
     stage = Stage(C)
-    stage.member.on_sync(sync(B, 3, STATE))
+    stage.member.on_sync(sync(B, 3, STATE), 0.0)
     assert not stage.member.is_tail
     assert stage.saved() == [("b", Ack(C, 3, 1))]
     assert stage.member.is_tail and stage.member.committed == 1
@@ -156,7 +164,7 @@
 
 def give(stage: Stage, message: Sync | Write | Ack) -> None:
     if isinstance(message, Sync):
-        stage.member.on_sync(message)
+        stage.member.on_sync(message, 0.0)
     elif isinstance(message, Write):
         stage.member.on_write(message)
     else:
@@ -196,7 +204,7 @@
     stage.out()
     stage.member.enter(replace(VIEW, epoch=4), False, 0.0)
     assert stage.saved() == []
-    stage.member.on_sync(sync(A, 4, STATE))
+    stage.member.on_sync(sync(A, 4, STATE), 0.0)
     assert stage.saved() == [("c", sync(B, 4, STATE))]
 
 
