--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -232,8 +232,8 @@
         ),
         (
             "a sync of an unknown view is dropped",
-            "        self.follow(message.view, now)\n        self.chain.on_sync",
-            "        self.chain.on_sync",
+            "        self.follow(message.view, now)\n        if self.chain.on_sync",
+            "        if self.chain.on_sync",
         ),
     ),
     *_of(
