--- a/tests/dataplane/test_guards.py
+++ b/tests/dataplane/test_guards.py
@@ -22,12 +22,13 @@
     host_line,
     plain,
     rejects,
+    request,
     sse,
     stage,
     stream,
 )
 from tests.dataplane.stage import chunk as chunk_of
-from tests.net import Behaviour, Message, hang, on_loop, reset, until
+from tests.net import Behaviour, FakeHost, Message, hang, on_loop, reset, until
 
 PAUSE_S = 0.2
 MARGIN_MS = 120  # for the machine that runs the test
@@ -218,8 +219,8 @@
             (b"X-Request-Id", b"left"),
             (b"Authorization", b"Bearer " + KEY.encode()),
         ]
-        request = read_request(b"POST", path, headers, b"", asyncio.get_running_loop().time())
-        s.plane.engine.accept(request, client_left)
+        asked = read_request(b"POST", path, headers, b"", asyncio.get_running_loop().time())
+        s.plane.engine.accept(asked, client_left)
         await until(lambda: not s.plane.engine.open)
         await asyncio.sleep(0.05)
         assert len(s.hosts[0].seen) == before
@@ -263,3 +264,64 @@
             got = await client.ask("/once/x")
             assert (got.status, got.body) == (200, b"mine")
             await asyncio.sleep(0.03)
+
+
+class EarlyHost(FakeHost):
+    """Rejects a long request before its body has come, keeps the connection, and reads on later."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self.wrong: list[bytes] = []
+        self.bodies = 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                top = await reader.readuntil(b"\r\n\r\n")
+                if not top.startswith(b"POST /"):
+                    self.wrong.append(top[:60])
+                lines = dict(line.split(b": ", 1) for line in top.split(b"\r\n")[1:] if b": " in line)
+                answered = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nKeep-Alive: timeout=9\r\n"
+                writer.write(
+                    answered + b"X-Request-Id: " + lines[b"X-Request-Id"] + b"\r\nContent-Length: 0\r\n\r\n"
+                )
+                await asyncio.sleep(0.1)
+                body = await reader.readexactly(int(lines[b"Content-Length"]))
+                self.bodies += 1
+                if body.strip(b"."):
+                    self.wrong.append(body.strip(b".")[:60])
+        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
+            writer.close()
+
+
+@pytest.mark.parametrize("size", [1000, 20 * PROVEN_LIMIT, 80 * PROVEN_LIMIT])
+@on_loop
+async def test_no_other_request_goes_where_the_rest_of_a_long_body_is_due(
+    size: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(base, "SETTLE_S", -1.0)
+    monkeypatch.setattr(upstream, "ONCE_IDLE_S", 1.0)
+    early = await EarlyHost("i-early").start()
+    assert isinstance(early, EarlyHost)
+    limits = {"max_body_bytes": 200 * PROVEN_LIMIT}
+    async with stage(plain(), limits=limits) as s:
+        s.authority.tell(s.snapshot(host_line(early), limits=limits))
+        for _ in range(3):
+            async with s.client() as client:
+                assert (await client.ask("/once/x", body=b"." * size)).status == 503
+        await asyncio.sleep(0.4)
+        assert early.wrong == []
+    early.down()
+
+
+@pytest.mark.parametrize("kind", ["streaming", "idempotent"])
+@on_loop
+async def test_what_a_client_left_is_no_longer_worked_on(kind: str) -> None:
+    path = "/chat/x" if kind == "streaming" else "/safe/x"
+    async with stage(hang) as s:
+        async with s.client() as client:
+            client.writer.write(request(path))
+            await s.hosts[0].came.get()
+        left_at = asyncio.get_running_loop().time()
+        await s.hosts[0].closed.get()
+        assert asyncio.get_running_loop().time() - left_at < 0.3
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -629,6 +629,11 @@
             "        settled = attempt.began - SETTLE_S\n",
             "        settled = attempt.began\n",
         ),
+        (
+            "a connection is kept where a body is still due",
+            "if self._keep and not self._excess and not self._unsent:",
+            "if self._keep and not self._excess:",
+        ),
         (
             "a reset counts as the end",
             "endless and self._look is not None and not self._look.reset()",
