--- /dev/null
+++ b/tests/test_mutations.py
@@ -0,0 +1,41 @@
+"""Every guard that `mutations` removes stands in the code, once; a removed one is told from a held one."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tests import mutations
+from tests.mutations import MUTATIONS, ROOT, Mutation, judge
+
+
+@pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda each: each.name)
+def test_each_guard_stands_once(mutation: Mutation) -> None:
+    text = (ROOT / "roselink" / mutation.file).read_text(encoding="utf-8")
+    assert text.count(mutation.guard) == 1
+    compile(text.replace(mutation.guard, mutation.instead), mutation.file, "exec")
+    for tests in mutation.tests:
+        assert (ROOT / tests).exists()
+
+
+def test_names_tell_guards_apart() -> None:
+    places = [(mutation.file, mutation.name) for mutation in MUTATIONS]
+    assert len(set(places)) == len(places)
+
+
+@pytest.mark.parametrize(
+    ("instead", "caught"),
+    [("return Verdict.STOP", True), ("return Verdict.RETRY if outcome in NEVER_RAN or repeatable", False)],
+)
+def test_a_guard_that_is_gone_is_told(monkeypatch: pytest.MonkeyPatch, instead: str, caught: bool) -> None:
+    guard = "return Verdict.RETRY if outcome in NEVER_RAN or repeatable"
+    tests = ("tests/routing/test_fleet.py",)
+    assert judge(Mutation("any", "routing/classifier.py", guard, instead, tests)).caught is caught
+
+
+def test_a_guard_that_has_moved_is_named(tmp_path: Path) -> None:
+    (tmp_path / "roselink" / "routing").mkdir(parents=True)
+    (tmp_path / "roselink" / "routing" / "classifier.py").write_text("nothing\n")
+    with pytest.raises(ValueError, match="stands 0 times"):
+        Mutation("any", "routing/classifier.py", "guard", "", mutations.ROUTING).apply(tmp_path)
