--- a/tests/dataplane/test_guards.py
+++ b/tests/dataplane/test_guards.py
@@ -408,3 +408,37 @@
     async with stage(more) as s, s.client() as client:
         assert (await client.ask("/once/x")).status == 200
         await asyncio.wait_for(s.hosts[0].closed.get(), 0.35)  # long before it is swept as idle
+
+
+class StuckHost(FakeHost):
+    """Rejects a long request before its body has come, and never reads on there; serves other connections."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                top = (await reader.readuntil(b"\r\n\r\n")).decode()
+                lines = {k.lower(): v.strip() for k, _, v in (x.partition(":") for x in top.split("\r\n"))}
+                message = Message(top.split("\r\n")[0], lines, b"")
+                keeps = "Keep-Alive: timeout=9"
+                if int(lines["content-length"]) > PROVEN_LIMIT:
+                    await rejects("503 Full", "X-Not-Executed: 1", keeps)(message, writer)
+                    await asyncio.Event().wait()
+                await plain(b"ok", "200 OK", keeps)(message, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+@on_loop
+async def test_no_request_waits_behind_a_body_that_its_host_does_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(base, "SETTLE_S", -1.0)
+    stuck = await StuckHost("i-stuck").start()
+    limits = {"max_body_bytes": 200 * PROVEN_LIMIT}
+    async with stage(plain(), limits=limits) as s:
+        s.authority.tell(s.snapshot(host_line(stuck), limits=limits))
+        async with s.client() as client:
+            assert (await client.ask("/once/x", body=bytes(150 * PROVEN_LIMIT))).status == 503
+        async with s.client() as client:
+            assert (await client.ask("/safe/x", X_Request_Deadline="1000")).status == 200
+    stuck.down()
