Admission: unconfigured gateways tell clients to come back after 0.25 s again

Told 0.9 s less the gateway's age, all clients come at one moment, when owners of quotas are not known.

--- a/roselink/dataplane/admission.py
+++ b/roselink/dataplane/admission.py
@@ -14,10 +14,7 @@
 # Before the client's deadline by this much the last word is said: room for the way to the client.
 MARGIN_S = 0.030
 MARGIN_PART = 0.25  # of the time that a client in a hurry gives: the margin shrinks to fit into that
-NOT_CONFIRMED_RETRY_S = 0.25  # keys or places are missing here: other gateways have them
-FIRST_CONFIGURATION_S = 0.9  # from a gateway's start until it has one, where the control plane starts too
-LATER_PART = 0.25  # of its age: how much longer a gateway is likely to be without one after that
-LATER_MOST_S = 1.0
+NOT_CONFIRMED_RETRY_S = 0.25  # configuration, keys or places are missing here: other gateways have them
 
 
 class Refusal(NamedTuple):
@@ -53,15 +50,6 @@
     return Refusal(401) if tenant is None else Admitted(entry, tenant)
 
 
-def unconfigured_retry_s(age_s: float) -> float:
-    """When to come back to a gateway that has no configuration `age_s` seconds after its start.
-
-    Alone it would have one within a pull, so its control plane is starting too, or is out of reach."""
-    if age_s <= FIRST_CONFIGURATION_S:
-        return max(NOT_CONFIRMED_RETRY_S, FIRST_CONFIGURATION_S - age_s)
-    return NOT_CONFIRMED_RETRY_S + min(LATER_MOST_S, LATER_PART * age_s)
-
-
 def allowed_s(request: ProxyRequest, route: Route) -> float:
     """How long a request may take: its client's time, or the operator's if that is shorter."""
     told = DEFAULT_DEADLINE_S if request.deadline_s is None else request.deadline_s
--- a/roselink/dataplane/engine.py
+++ b/roselink/dataplane/engine.py
@@ -23,7 +23,6 @@
     facts_of,
     give_up_at,
     judge,
-    unconfigured_retry_s,
 )
 from roselink.dataplane.attempts import Attempts
 from roselink.dataplane.exchange import ClientAnswer, Exchange
@@ -74,7 +73,6 @@
         self._random = random.Random(seed)
         self._numbers = itertools.count(1)
         self._queue = EventQueue(loop, decider, self._perform, self._fail)
-        self._began_at = loop.time()
         self._ends_at: float | None = None  # while draining: when all must have their answer
         self._topology: TopologyChanged | None = None
         self.table: RouteTable | None = None
@@ -109,15 +107,10 @@
         self.counts["requests"] += 1
         verdict = judge(self.table, self._authority.may_use_keys(), request)
         if isinstance(verdict, Refusal):
-            self._refuse(client, verdict.status, self._retry_after_s(verdict))
+            self._refuse(client, *verdict)
             return None
         return self._open(request, verdict, client)
 
-    def _retry_after_s(self, refusal: Refusal) -> float | None:
-        if self.table is None:
-            return unconfigured_retry_s(self._loop.time() - self._began_at)
-        return refusal.retry_after_s
-
     def _refuse(self, client: ClientAnswer, status: int, retry_after_s: float | None = None) -> None:
         self.counts[f"refused_{status}"] += 1
         client.own(status, retry_after_s)
