--- a/roselink/simulation/clients.py
+++ b/roselink/simulation/clients.py
@@ -108,6 +108,8 @@
 
         def done(outcome: SubmitOutcome) -> None:
             call.ended, call.said = world.now, said(outcome)
+            if isinstance(outcome, TakenOrder):
+                world.note_taken(change.text, outcome.sequence)
             lost = world.random.random() < 0.05
             if ended or lost:
                 return
@@ -154,6 +156,7 @@
         def done(shown: Confirmation | None) -> None:
             if shown is not None:
                 change = change_in(self.world, shown.document)
+                self.world.note_shown(shown.sequence, change.text if change is not None else None)
                 self.world.history.readings.append(Reading(began, self.world.now, change))
 
         self.world.random.choice(up).read(done)
--- a/roselink/simulation/command.py
+++ b/roselink/simulation/command.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from roselink.simulation.days import DayFailed, Played, day_of_seed, storm_day, trouble_day
+from roselink.simulation.days import Played, day_of_seed, storm_day, trouble_day
 
 LARGEST_TOLERATING_ONE = 4  # with more machines two may be lost at once
 
@@ -39,7 +39,7 @@
             played = trouble_day(order.seed, order.machines, tolerated, lossy=order.seed % 4 == 1)
         else:
             played = storm_day(order.seed, order.machines, 1)
-    except DayFailed as failed:
+    except AssertionError as failed:
         return Outcome(order.seed, None, str(failed))
     return Outcome(order.seed, played, None)
 
--- a/roselink/simulation/days.py
+++ b/roselink/simulation/days.py
@@ -90,7 +90,9 @@
     shown = read(world, machine)
     if shown is None:
         raise DayFailed(f"{machine.address} can't confirm")
-    world.history.readings.append(Reading(began, world.now, change_in(world, shown.document)))
+    change = change_in(world, shown.document)
+    world.note_shown(shown.sequence, change.text if change is not None else None)
+    world.history.readings.append(Reading(began, world.now, change))
 
 
 def _check_state(world: World, machine: Machine) -> None:
@@ -101,7 +103,8 @@
     for call in world.history.orders:
         found = find(state, world.digests[call.change.text])
         in_force = found is not None and found[0] > 0
-        if call.said is Said.CONFIRMED and not in_force:
+        kept = in_force and found is not None and found[1] == world.taken.get(call.change.text)
+        if call.said is Said.CONFIRMED and not kept:
             raise DayFailed(f"a confirmed order is lost: {call.change}")
         if call.said is Said.REFUSED and in_force:
             raise DayFailed(f"a refused order came into force: {call.change}")
--- a/roselink/simulation/world.py
+++ b/roselink/simulation/world.py
@@ -300,10 +300,23 @@
         self.loss = self.doubled = self.late = 0.0
         self.history = History()
         self.changes: dict[str, Change] = {}  # by their texts
+        self.taken: dict[str, int] = {}  # the sequences of confirmed orders, by their texts
+        self.shown: dict[int, str | None] = {0: None}  # the texts that were shown under sequences
         self.digests: dict[str, bytes] = {}  # of the orders that they were sent as
         for machine in self.machines.values():
             self.after(self.random.uniform(0, 0.3), partial(machine.start, bootstrap=True))
 
+    def note_taken(self, text: str, sequence: int) -> None:
+        """An order was confirmed in a place: always the same, and no other order's."""
+        if self.taken.setdefault(text, sequence) != sequence:
+            raise AssertionError("one order in two places")
+        self.note_shown(sequence, text)
+
+    def note_shown(self, sequence: int, text: str | None) -> None:
+        """A configuration was shown under a sequence: always the same."""
+        if self.shown.setdefault(sequence, text) != text:
+            raise AssertionError("two configurations under one sequence")
+
     def number(self) -> int:
         """A number that nothing else has."""
         return next(self._numbers)
