Control: updates of single items, merged onto the confirmed document of their base

Change: an update is one more order of the same state machine. Its digest covers kind, base and bytes; a known digest is answered by its outcome; else the base must be the confirmed document, onto which a pure function merges it; the result is checked as a whole document is, and judged again at the head on the same base. Where the base is not in place the order goes without a document: the head looks for its digest, and never appends it. Ruled out: merging at the head, which would bring documents into the coordination library.

--- a/roselink/control/api.py
+++ b/roselink/control/api.py
@@ -1,8 +1,9 @@
 """The operator's interface over HTTP: a klein application in front of the replicated chain.
 
-Every member answers for itself. An order's digest covers its base version and its bytes, so the chain knows
-an order that comes again, at any member and after a restart. Answers: 200 committed; 412 another version is
-in place; 400 invalid; 413 too large; 503 with Retry-After when nobody could say in time.
+Every member answers for itself. An order's digest covers its kind, its base version and its bytes, so the
+chain knows an order that comes again, at any member and after a restart. An update of single items is merged
+onto the confirmed document of its base, and goes on as a whole document. Answers: 200 committed; 412 another
+version is in place; 400 invalid; 413 too large; 503 with Retry-After when nobody could say in time.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
     Unsettled,
 )
 from roselink.control.pulls import GatewayLag
+from roselink.control.updates import carry_update, read_call
 from roselink.control.values import MOST_NUMBER
 from roselink.coordination.state import digest_of
 from roselink.model.fleet import VersionVector
@@ -95,6 +97,7 @@
         self._open = 0
         app = Klein()
         app.route("/config/replace", methods=["POST"])(self._replace)
+        app.route("/config/update", methods=["POST"])(self._update)
         app.route("/config/get", methods=["GET"])(self._get)
         app.route("/status", methods=["GET"])(self._status)
         self._app = app
@@ -118,6 +121,32 @@
         return self._open
 
     def _replace(self, request: ApiRequest) -> Any:
+        base = self._base(request)
+        if not isinstance(base, int):
+            return base
+        body = request.content.read()
+        checked = check(body)
+        if isinstance(checked, Refused):
+            return _refused(request, base, checked)
+        order = ConfigurationOrder(base, checked.generation, body, digest_of(base, body))
+        return self._carried(request, base, checked.generation, lambda done: self._node.submit(order, done))
+
+    def _update(self, request: ApiRequest) -> Any:
+        base = self._base(request)
+        if not isinstance(base, int):
+            return base
+        call = read_call(base, request.content.read())
+        if isinstance(call, Refused):
+            return _refused(request, base, call)
+        return self._carried(
+            request,
+            base,
+            call.update.generation,
+            lambda done: carry_update(call, self._node.confirm, self._node.submit, done),
+        )
+
+    def _base(self, request: ApiRequest) -> int | bytes:
+        """The version that an order builds on, or the answer to an order that can't be taken."""
         if request.too_large:
             return _json(request, 413, {"error": "too large", "most_bytes": MAX_BODY_BYTES})
         base = read_base([str(value) for value in request.requestHeaders.getRawHeaders("X-Base-Version", [])])
@@ -125,28 +154,36 @@
             return _invalid(request, (Fault("X-Base-Version", "must be one whole number"),))
         if self._stopping:
             return _unavailable(request, "stopping")
-        body = request.content.read()
-        checked = check(body)
-        if isinstance(checked, Refused):
-            log.info("order_invalid", base=base, faults=[str(fault) for fault in checked.faults[:5]])
-            return _invalid(request, checked.faults)
-        order = ConfigurationOrder(base, checked.generation, body, digest_of(base, body))
+        return base
+
+    def _carried(
+        self,
+        request: ApiRequest,
+        base: int,
+        generation: int,
+        begin: Callable[[Callable[[Any], None]], None],
+    ) -> Deferred[Any]:
+        """The answer to an order once `begin` has brought its outcome, or late in time."""
         self._open += 1
-        settled = self._in_time(SUBMIT_TIMEOUT_S, lambda done: self._node.submit(order, done), Unsettled())
-        return settled.addBoth(self._closed).addCallback(self._answer_order, request, order)
+        settled = self._in_time(SUBMIT_TIMEOUT_S, begin, Unsettled())
+        return settled.addBoth(self._closed).addCallback(self._answer_order, request, base, generation)
 
     def _closed(self, outcome: Any) -> Any:
         self._open -= 1
         return outcome
 
-    def _answer_order(self, outcome: SubmitOutcome, request: ApiRequest, order: ConfigurationOrder) -> bytes:
-        log.info("order", base=order.base, generation=order.generation, outcome=type(outcome).__name__)
+    def _answer_order(
+        self, outcome: SubmitOutcome | Refused, request: ApiRequest, base: int, generation: int
+    ) -> bytes:
+        if isinstance(outcome, Refused):
+            return _refused(request, base, outcome)
+        log.info("order", base=base, generation=generation, outcome=type(outcome).__name__)
         match outcome:
             case TakenOrder(sequence):
-                return _json(request, 200, {"generation": order.generation, "sequence": sequence})
+                return _json(request, 200, {"generation": generation, "sequence": sequence})
             case Conflict(current):
                 return _conflict(request, current)
-            case NotNewer(current) if current != order.base:
+            case NotNewer(current) if current != base:
                 return _conflict(request, current)
             case NotNewer(current):
                 return _invalid(request, (Fault("generation", f"must be above {current}"),))
@@ -228,6 +265,11 @@
     return _body(request, status, json.dumps(value).encode())
 
 
+def _refused(request: ApiRequest, base: int, refused: Refused) -> bytes:
+    log.info("order_invalid", base=base, faults=[str(fault) for fault in refused.faults[:5]])
+    return _invalid(request, refused.faults)
+
+
 def _invalid(request: ApiRequest, faults: tuple[Fault, ...]) -> bytes:
     return _json(request, 400, {"error": "invalid", "faults": [asdict(fault) for fault in faults]})
 
--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -66,6 +66,7 @@
     "structlog",
     "roselink.control.logs",
     "roselink.control.checking",
+    "roselink.control.updates",
     "roselink.control.api",
     "treq.api",
     "treq.client",
--- a/roselink/control/checking.py
+++ b/roselink/control/checking.py
@@ -60,11 +60,16 @@
 
 def check(body: bytes) -> Checked | Refused:
     """Check the bytes of a document."""
+    document = read_json(body)
+    return document if isinstance(document, Refused) else check_document(document)
+
+
+def read_json(body: bytes) -> Any | Refused:
+    """Read bytes as JSON."""
     try:
-        document = json.loads(body.decode("utf-8"), parse_constant=_no_constant)
+        return json.loads(body.decode("utf-8"), parse_constant=_no_constant)
     except (ValueError, RecursionError) as error:
         return Refused((Fault("", f"is not JSON: {error}"),))
-    return check_document(document)
 
 
 def check_document(document: object) -> Checked | Refused:
--- a/roselink/coordination/orders.py
+++ b/roselink/coordination/orders.py
@@ -48,6 +48,7 @@
     Judgement.NOT_NEWER: OutcomeKind.NOT_NEWER,
     Judgement.CONFLICT: OutcomeKind.CONFLICT,
     Judgement.REFUSE_FOR_GOOD: OutcomeKind.CONFLICT,
+    Judgement.WITHOUT_DOCUMENT: OutcomeKind.UNSETTLED,
 }
 
 
--- a/roselink/coordination/state.py
+++ b/roselink/coordination/state.py
@@ -37,6 +37,7 @@
     NOT_NEWER = 3
     CONFLICT = 4
     REFUSE_FOR_GOOD = 5  # a later state might let it in: note the refusal first
+    WITHOUT_DOCUMENT = 6  # it may be let in now, but came without its document: it has to be made and sent
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +56,8 @@
 def judge(state: ConfigurationState, order: ConfigurationOrder) -> Verdict:
     """What becomes of an order on top of `state`.
 
-    Each refusal stays true in every state that follows: generations only rise.
+    Each refusal stays true in every state that follows: generations only rise. An order without a document
+    only asks for its outcome, or for its refusal: it is never appended.
     """
     entry = find(state, order.digest)
     if entry is not None:
@@ -69,6 +71,8 @@
         return Verdict(Judgement.CONFLICT, state.generation)
     if order.base > state.generation:
         return Verdict(Judgement.REFUSE_FOR_GOOD, state.generation)
+    if not order.document:
+        return Verdict(Judgement.WITHOUT_DOCUMENT, state.generation)
     return Verdict(Judgement.APPEND, state.sequence + 1)
 
 
--- a/roselink/protocol/chain.py
+++ b/roselink/protocol/chain.py
@@ -74,7 +74,8 @@
 class ConfigurationOrder:
     """One change of the operator's: a whole document on top of the generation `base`.
 
-    `digest` is taken over base and document, and names the order when it is sent again.
+    `digest` is taken over base and bytes as the operator sent them; it names the order when it comes again.
+    `document` is empty where it could not be made, as the base was not in place (`coordination.state.judge`).
     """
 
     base: int
--- a/roselink/simulation/clients.py
+++ b/roselink/simulation/clients.py
@@ -3,8 +3,20 @@
 from __future__ import annotations
 
 import json
-
-from roselink.coordination.effects import Confirmation, Conflict, NotNewer, SubmitOutcome, TakenOrder
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from roselink.control.checking import Refused
+from roselink.control.updates import UpdateCall, carry_update, read_call
+from roselink.coordination.effects import (
+    Confirmation,
+    Conflict,
+    NotNewer,
+    SubmitOutcome,
+    TakenOrder,
+    Unsettled,
+)
 from roselink.coordination.state import digest_of
 from roselink.protocol.chain import ConfigurationOrder
 from roselink.simulation.history import Change, Reading, Said
@@ -12,34 +24,84 @@
 
 SILENCE_S = 1.0  # a caller moves on after so long
 TRIES = 12
+UPDATES = 0.5  # of the changes are sent as updates of items
+SERVICE = "model"
 KEYS = 5  # each configuration holds two of so many keys, by turns
 
 
 def document_of(change: Change, padding: int = 0) -> bytes:
-    """A change as it is sent."""
-    tenant = {"name": change.text, "api_keys": sorted(change.keys)}
-    told = {"generation": change.version, "tenants": [tenant], "padding": "x" * padding}
+    """A change as it is sent whole. Its only route has the same name in all changes; its text is the host."""
+    told = _items(change) | {
+        "generation": change.version,
+        "services": [{"name": SERVICE}],
+        "padding": "x" * padding,
+    }
     return json.dumps(told).encode()
 
 
+def update_of(change: Change, gone: int) -> bytes:
+    """The same change as an update of items, which also removes a route that isn't there."""
+    told = {
+        "generation": change.version,
+        "upsert": _items(change),
+        "remove": {"routes": [f"gone-{gone}"]},
+    }
+    return json.dumps(told).encode()
+
+
+def _items(change: Change) -> dict[str, Any]:
+    route = {"name": "newest", "hostname": change.text, "path_prefix": "/", "kind": "idempotent"}
+    tenant = {"name": "tenant", "api_keys": sorted(change.keys)}
+    return {"routes": [route | {"service": SERVICE}], "tenants": [tenant]}
+
+
+@dataclass(frozen=True, slots=True)
+class Sending:
+    """A change as its operator sends it, whole or as an update, each time with the same bytes."""
+
+    change: Change
+    order: ConfigurationOrder | UpdateCall
+
+    def to(self, machine: Machine, done: Callable[[SubmitOutcome | Refused], None]) -> None:
+        """Have a member carry it."""
+        if isinstance(self.order, ConfigurationOrder):
+            machine.submit(self.order, done)
+            return
+        life = machine.life
+
+        def submit(order: ConfigurationOrder, then: Callable[[SubmitOutcome], None]) -> None:
+            if machine.life == life:
+                machine.submit(order, then)
+
+        carry_update(self.order, machine.read, submit, done)
+
+
 def order_of(change: Change, padding: int = 0) -> ConfigurationOrder:
     """A change as members take it."""
     document = document_of(change, padding)
     return ConfigurationOrder(change.base, change.version, document, digest_of(change.base, document))
 
 
+def update_call_of(change: Change, gone: int) -> UpdateCall:
+    """A change as members take an update."""
+    call = read_call(change.base, update_of(change, gone))
+    if isinstance(call, Refused):
+        raise AssertionError(str(call))
+    return call
+
+
 def change_in(world: World, document: bytes | None) -> Change | None:
     """The change that a document came with."""
     if document is None:
         return None
-    return world.changes[json.loads(document)["tenants"][0]["name"]]
+    return world.changes[json.loads(document)["routes"][0]["hostname"]]
 
 
-def said(outcome: SubmitOutcome) -> Said:
+def said(outcome: SubmitOutcome | Refused) -> Said:
     """What an outcome tells an operator."""
     if isinstance(outcome, TakenOrder):
         return Said.CONFIRMED
-    return Said.REFUSED if isinstance(outcome, Conflict | NotNewer) else Said.UNCLEAR
+    return Said.REFUSED if isinstance(outcome, Conflict | NotNewer | Refused) else Said.UNCLEAR
 
 
 class Operator:
@@ -50,7 +112,7 @@
         self.base = self.count = 0
         self.stopped = False
         self.slowest_s = 0.0
-        self._sent: list[tuple[Change, ConfigurationOrder]] = []
+        self._sent: list[Sending] = []
         world.after(world.random.uniform(0.5, 1.5), self._next)
 
     def _next(self) -> None:
@@ -58,13 +120,16 @@
             return
         draw = self.world.random
         if self._sent and draw.random() < 0.05:
-            change, order = draw.choice(self._sent)  # an old one once more
+            sending = draw.choice(self._sent)  # an old one once more
         else:
             change = self._change()
-            order = order_of(change, draw.randrange(300))
+            updates = change.base > 0 and draw.random() < UPDATES
+            size = draw.randrange(300)
+            order = update_call_of(change, size) if updates else order_of(change, size)
             self.world.digests[change.text] = order.digest
-            self._sent.append((change, order))
-        self._send(change, order, self.world.now, 0)
+            sending = Sending(change, order)
+            self._sent.append(sending)
+        self._send(sending, self.world.now, 0)
 
     def _change(self) -> Change:
         draw = self.world.random
@@ -76,7 +141,7 @@
         self.world.changes[change.text] = change
         return change
 
-    def _send(self, change: Change, order: ConfigurationOrder, began: float, tries: int) -> None:
+    def _send(self, sending: Sending, began: float, tries: int) -> None:
         world = self.world
         up = world.up()
         if tries >= TRIES or not up:
@@ -85,28 +150,27 @@
         ended: list[bool] = []
         at_once = 2 if world.random.random() < 0.1 else 1
         for machine in world.random.sample(up, min(at_once, len(up))):
-            self._ask(machine, change, order, began, tries, ended)
+            self._ask(machine, sending, began, tries, ended)
 
         def silence() -> None:
             if not ended:
                 ended.append(True)
-                self._send(change, order, began, tries + 1)
+                self._send(sending, began, tries + 1)
 
         world.after(SILENCE_S, silence)
 
     def _ask(
         self,
         machine: Machine,
-        change: Change,
-        order: ConfigurationOrder,
+        sending: Sending,
         began: float,
         tries: int,
         ended: list[bool],
     ) -> None:
-        world = self.world
+        world, change = self.world, sending.change
         call = world.history.order(change, world.now)
 
-        def done(outcome: SubmitOutcome) -> None:
+        def done(outcome: SubmitOutcome | Refused) -> None:
             call.ended, call.said = world.now, said(outcome)
             if isinstance(outcome, TakenOrder):
                 world.note_taken(change.text, outcome.sequence)
@@ -114,24 +178,22 @@
             if ended or lost:
                 return
             ended.append(True)
-            self._answered(change, order, began, tries, outcome)
+            self._answered(sending, began, tries, outcome)
 
-        machine.submit(order, done)
+        sending.to(machine, done)
 
-    def _answered(
-        self, change: Change, order: ConfigurationOrder, began: float, tries: int, outcome: SubmitOutcome
-    ) -> None:
-        world = self.world
+    def _answered(self, sending: Sending, began: float, tries: int, outcome: SubmitOutcome | Refused) -> None:
+        world, change = self.world, sending.change
         if isinstance(outcome, TakenOrder):
             self.base = max(self.base, change.version)
             self.slowest_s = max(self.slowest_s, world.now - began)
             if world.random.random() < 0.1:
-                self._send(change, order, world.now, tries + 1)
+                self._send(sending, world.now, tries + 1)
                 return
         elif isinstance(outcome, Conflict | NotNewer):
             self.base = max(self.base, outcome.current)
-        else:
-            self._send(change, order, began, tries + 1)
+        elif isinstance(outcome, Unsettled):
+            self._send(sending, began, tries + 1)
             return
         world.after(world.random.uniform(0, self.pause_s), self._next)
 
--- a/roselink/simulation/gateways.py
+++ b/roselink/simulation/gateways.py
@@ -76,8 +76,8 @@
             self.world.after(wait_s, partial(self._wake, self.life))
 
     def _apply(self, snapshot: Snapshot) -> None:
-        tenants = snapshot.configuration.tenants
-        self.in_force = self.world.changes[tenants[0].name]
+        newest = snapshot.configuration.routes[0]
+        self.in_force = self.world.changes[newest.hostname]
         self.world.history.in_force.append(InForce(self.name, self.life, self.world.now, self.in_force))
         for host in snapshot.hosts:
             self.lists_went_back += host.id < self.newest_list
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -21,6 +21,7 @@
     Unsettled,
 )
 from roselink.control.pulls import GatewayLag
+from roselink.control.updates import digest_of_update
 from roselink.coordination.state import digest_of
 from roselink.model.fleet import VersionVector
 from tests.control.fakes import FakeNode
@@ -149,6 +150,56 @@
     with_interface(work)
 
 
+UPDATE = json.dumps({"generation": 9, "remove": {"routes": ["r-2"]}}).encode()
+
+
+def test_an_update_is_merged_onto_the_confirmed_document() -> None:
+    async def work(serving: Served) -> None:
+        caller = await serving.caller()
+        caller.send("POST", "/config/update", UPDATE, X_Base_Version="7")
+        (await serving.node.reads.get())(Confirmation(3, 5, ORDER, 7))
+        order, done = await serving.node.orders.get()
+        assert (order.base, order.generation, order.digest) == (7, 9, digest_of_update(7, UPDATE))
+        assert [route["name"] for route in json.loads(order.document)["routes"]] == ["r-1"]
+        assert serving.api.under_way == 1
+        done(TakenOrder(6))
+        answer = await caller.receive()
+        assert (answer.status, answer.json()) == (200, {"generation": 9, "sequence": 6})
+        assert serving.api.under_way == 0
+
+    with_interface(work)
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "confirmation", "status"),
+    [
+        (b"[]", {"X_Base_Version": "7"}, None, 400),
+        (UPDATE, {}, None, 400),
+        (UPDATE.replace(b"routes", b"services"), {"X_Base_Version": "7"}, Confirmation(3, 5, ORDER, 7), 200),
+        (UPDATE.replace(b"routes", b"limits"), {"X_Base_Version": "7"}, Confirmation(3, 5, ORDER, 7), 400),
+        (UPDATE, {"X_Base_Version": "7"}, None, 503),
+        (UPDATE, {"X_Base_Version": "6"}, Confirmation(3, 5, ORDER, 7), 412),
+    ],
+)
+def test_answers_to_updates(
+    body: bytes, headers: dict[str, str], confirmation: Confirmation | None, status: int
+) -> None:
+    async def work(serving: Served) -> None:
+        caller = await serving.caller()
+        caller.send("POST", "/config/update", body, **headers)
+        if status != 400 or confirmation is not None:
+            (await serving.node.reads.get())(confirmation)
+        if status in (200, 412):
+            _, done = await serving.node.orders.get()
+            done(Conflict(7) if status == 412 else TakenOrder(6))
+        answer = await caller.receive()
+        assert answer.status == status
+        assert serving.node.orders.empty()
+        assert serving.node.reads.empty()
+
+    with_interface(work)
+
+
 def test_the_same_order_has_the_same_digest_and_no_other_has() -> None:
     again = digest_of(5, bytes(ORDER))
     assert digest_of(5, ORDER) == again
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -49,6 +49,10 @@
     return ConfigurationOrder(base, generation, document, digest_of(base, document))
 
 
+def without_document(base: int, generation: int) -> ConfigurationOrder:
+    return ConfigurationOrder(base, generation, b"", digest_of(base, b"no document"))
+
+
 FIRST, EARLY = order(0, 5), order(9, 12)
 HELD = apply(apply(EMPTY, FIRST, refused=False), EARLY, refused=True)
 LATER = apply(HELD, order(5, 9), refused=False)
@@ -68,6 +72,10 @@
         (HELD, order(9, 13), Verdict(Judgement.REFUSE_FOR_GOOD, 5)),
         (HELD, EARLY, Verdict(Judgement.CONFLICT, 5)),
         (LATER, EARLY, Verdict(Judgement.CONFLICT, 9)),
+        (HELD, without_document(5, 9), Verdict(Judgement.WITHOUT_DOCUMENT, 5)),
+        (HELD, without_document(0, 9), Verdict(Judgement.CONFLICT, 5)),
+        (HELD, without_document(9, 13), Verdict(Judgement.REFUSE_FOR_GOOD, 5)),
+        (HELD, replace(FIRST, document=b""), Verdict(Judgement.TAKEN, 1)),
     ],
 )
 def test_judge(state: ConfigurationState, asked: ConfigurationOrder, expected: Verdict) -> None:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -37,6 +37,7 @@
 POOL = ("tests/test_upstream.py", "tests/test_closes.py", "tests/dataplane")
 ROUTING = ("tests/routing",)
 ORDERS = ("tests/control/test_api.py",)
+UPDATES = ("tests/control/test_updates.py",)
 PEERS = ("tests/protocol",)
 
 
@@ -206,6 +207,7 @@
             "return Verdict(Judgement.CONFLICT, state.generation)",
         ),
         ("a noted refusal is taken", "        if generation:\n", "        if True:\n"),
+        ("an order without a document is taken", "    if not order.document:", "    if False:"),
     ),
     *_of(
         "coordination/member.py",
@@ -259,7 +261,7 @@
     *_of(
         "control/api.py",
         ORDERS,
-        ("an order's base is not part of its name", "digest_of(base, body)", "digest_of(0, body)"),
+        ("an order's base is not part of its name", "digest_of(base, body))", "digest_of(0, body))"),
         (
             "unclear is told as refused",
             'return _unavailable(request, "unsettled")',
@@ -276,6 +278,25 @@
             "            pass",
         ),
     ),
+    *_of(
+        "control/updates.py",
+        UPDATES,
+        ("an update's base is not part of its name", 'struct.pack("!q", base)', 'struct.pack("!q", 0)'),
+        ("an update has a whole document's name", "_DIGEST_PREFIX + ", ""),
+        ("an update is merged onto any base", "if base != confirmed.generation:", "if False:"),
+        ("a merged document is not checked", "    if isinstance(checked, Refused):\n", "    if False:\n"),
+        ("an item stands twice in an update", "elif name in seen:", "elif False:"),
+        (
+            "an item is both added and removed",
+            "elif isinstance(removed, list) and name in removed:",
+            "elif False:",
+        ),
+        (
+            "an unconfirmed state is built on",
+            "        if confirmed is None:\n            done(Unsettled())",
+            "        if confirmed is None:\n            done(Conflict(0))",
+        ),
+    ),
     *_of(
         "control/pulls.py",
         PULLS,
