Core: imports wait while a view is being agreed; the platform's client is loaded first

Change: an import waits while a majority is heard and no view is active here, for 1.5 s in all; what reads the platform's list comes before what serves the operator.

--- /dev/null
+++ b/experiments/compare.py
@@ -0,0 +1,152 @@
+"""Compares two checkouts on the same days and seeds of the users' bench, play by play.
+
+    python -m experiments.compare BENCH BEFORE AFTER --days SITE:DAY ... --seeds 1 2 3
+
+Plays are interleaved, so that both sides meet the same machine. Printed: each pair, and for each day and all
+days the mean difference of worth, of its parts and of each price, with a 95% interval (Student's t). Worth
+is the report's `G`, which no mark clips.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import mean, stdev
+from typing import Any
+
+import defopt  # type: ignore[import-untyped]
+
+T_95 = (
+    12.71,
+    4.30,
+    3.18,
+    2.78,
+    2.57,
+    2.45,
+    2.36,
+    2.31,
+    2.26,
+    2.23,
+    2.20,
+    2.18,
+    2.16,
+    2.14,
+    2.13,
+)  # by freedom
+LEAST_SHOWN = 0.0005  # differences below are not printed by part
+
+
+@dataclass(frozen=True, slots=True)
+class Play:
+    """One day of one site with one seed."""
+
+    site: str
+    day: str
+    seed: int
+
+    @property
+    def name(self) -> str:
+        """The site's file and the day."""
+        return f"{Path(self.site).stem}:{Path(self.day).stem}"
+
+
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """What a play came to: figures by name, and what went wrong."""
+
+    figures: dict[str, float]
+    faults: tuple[str, ...]
+
+
+def measure(bench: str, tree: str, play: Play, why: str) -> Measured:
+    """Play one day in a checkout."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        command = [bench, "run", play.site, play.day, "--seed", str(play.seed), "--jobs", "1"]
+        command += ["--report", str(report), "--why", why]
+        ran = subprocess.run(command, cwd=tree, capture_output=True, text=True, check=False)
+        if not report.exists():
+            return Measured({}, (ran.stdout[-500:] + ran.stderr[-500:],))
+        return read_report(json.loads(report.read_text()))
+
+
+def read_report(report: dict[str, Any]) -> Measured:
+    """The figures of a report: worth, its parts, and its prices as worth lost."""
+    figures = {"worth": float(report["G"])}
+    figures |= {f"part: {name}": float(value) for name, _, value in report["parts"]}
+    figures |= {f"price: {name}": float(value) for name, _, value in report["prices"]}
+    figures["late"] = report["all"]["late"] / max(1, report["all"]["n"])
+    figures["refused"] = report["all"]["refused"] / max(1, report["all"]["n"])
+    faults = [f"broken: {rule}" for rule in report["breaks"]]
+    faults += [f"ended by itself: {each}" for each in report["exits"]]
+    faults += [f"short: {each}" for each in report["short"]]
+    if report["fault"]:
+        faults.append(f"fault: {report['fault']}")
+    return Measured(figures, tuple(faults))
+
+
+def interval(differences: list[float]) -> tuple[float, float]:
+    """Mean, and half of the width of its 95% interval."""
+    if len(differences) < 2:
+        return (differences[0] if differences else 0.0), math.inf
+    freedom = len(differences) - 1
+    factor = T_95[freedom - 1] if freedom <= len(T_95) else 2.0
+    return mean(differences), factor * stdev(differences) / math.sqrt(len(differences))
+
+
+def show(title: str, pairs: list[tuple[Measured, Measured]]) -> None:
+    """Print the differences of paired plays, figure by figure."""
+    names = list(pairs[0][0].figures)
+    for name in names:
+        told = [(a.figures.get(name, 0.0), b.figures.get(name, 0.0)) for a, b in pairs]
+        middle, half = interval([after - before for before, after in told])
+        if name == "worth" or abs(middle) >= LEAST_SHOWN:
+            before, after = mean(a for a, _ in told), mean(b for _, b in told)
+            print(f"{title:40} {name:44} {before:8.4f} {after:8.4f}  {middle:+.4f} +- {half:.4f}")
+
+
+def compare(
+    bench: str,
+    before: str,
+    after: str,
+    *,
+    days: list[str],
+    seeds: list[int],
+    jobs: int = 6,
+    why: str = "Comparison of two checkouts",
+) -> None:
+    """Play each day with each seed in both checkouts.
+
+    :param bench: the bench's program
+    :param before: a checkout
+    :param after: another one
+    :param days: each SITE:DAY, where DAY is a name or a file
+    :param seeds: of the plays
+    :param jobs: plays at a time
+    :param why: for the bench's journal
+    """
+    plays = [Play(*day.rsplit(":", 1), seed) for seed in seeds for day in days]
+    with ThreadPoolExecutor(jobs) as pool:
+        runs = [
+            (play, *(pool.submit(measure, bench, tree, play, f"Trial: {why}") for tree in (before, after)))
+            for play in plays
+        ]
+        done = [(play, first.result(), second.result()) for play, first, second in runs]
+    for play, *both in done:
+        worths = " ".join(f"{one.figures.get('worth', math.nan):.4f}" for one in both)
+        print(f"{play.name:40} seed {play.seed:<8} {worths}", *(one.faults for one in both if one.faults))
+    whole = [(play, first, second) for play, first, second in done if first.figures and second.figures]
+    for name in dict.fromkeys(play.name for play, _, _ in whole):
+        show(name, [(first, second) for play, first, second in whole if play.name == name])
+    if whole:
+        show("all", [(first, second) for _, first, second in whole])
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(compare))
--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -2,8 +2,10 @@
 
 The chain takes part before the HTTP libraries are loaded: their imports are most of a start's processor
 time, and while the core waits for a view the gateways wait for the core. So they are imported in short steps
-beside the running chain, with a turn of the loop after each. Their order matters: Twisted's reactor must be
-installed on the event loop before anything else imports it.
+beside the running chain, with a turn of the loop after each, and not at all while the members are agreeing
+on a view: each of a view's messages would wait for a step at every member on its way. The platform's client
+comes first, as gateways need hosts before the operator is heard. The order matters for one more reason:
+Twisted's reactor must be installed on the event loop before anything else imports it.
 """
 
 from __future__ import annotations
@@ -48,13 +50,21 @@
     "twisted.internet.tcp",
     "twisted.internet.asyncioreactor",
 )
-HTTP_MODULES = (  # the same, behind the reactor
+CLIENT_MODULES = (  # the same, behind the reactor: the platform's client
+    "twisted.internet.endpoints",
+    "twisted.web.http",
+    "twisted.web.client",
+    "structlog.processors",
+    "structlog",
+    "roselink.control.logs",
+    "treq.api",
+    "treq.client",
+    "roselink.control.platform_client",
+)
+SERVER_MODULES = (  # and the operator's interface
     "twisted.cred.checkers",
     "twisted.spread.pb",
-    "twisted.web.http",
     "twisted.web.server",
-    "twisted.internet.endpoints",
-    "twisted.web.client",
     "werkzeug.datastructures",
     "werkzeug.http",
     "werkzeug.sansio.response",
@@ -62,16 +72,12 @@
     "klein._form",
     "klein",
     "voluptuous",
-    "structlog.processors",
-    "structlog",
-    "roselink.control.logs",
     "roselink.control.checking",
     "roselink.control.updates",
     "roselink.control.api",
-    "treq.api",
-    "treq.client",
-    "roselink.control.platform_client",
 )
+FORMING_STEP_S = 0.02
+FORMING_MOST_S = 1.5  # so long in all imports wait for the members to agree on a view
 LISTEN_TRIES = 50
 LISTEN_PAUSE_S = 0.1
 
@@ -93,6 +99,10 @@
     def seeds_changed(self, settings: ProcessSettings) -> None:
         """The settings name other seeds: members that may be asked for the core's state."""
 
+    @property
+    def forming(self) -> bool:
+        """Whether enough members are there to agree on a view, and none is active here yet."""
+
 
 def run(settings: ProcessSettings) -> None:
     """Run a core process until SIGTERM. Returns when it has ended in order."""
@@ -122,11 +132,26 @@
     return reactor
 
 
-async def _import_in_steps(names: tuple[str, ...]) -> None:
-    """Import modules in this order; between two of them the loop serves what has come."""
-    for name in names:
-        await asyncio.sleep(0)
-        importlib.import_module(name)
+class ImportsInSteps:
+    """Imports modules in order; between two of them the loop serves what came, and a view may be agreed."""
+
+    def __init__(self, forming: Callable[[], bool], clock: Callable[[], float]) -> None:
+        self._forming, self._clock = forming, clock
+        self._patience_s = FORMING_MOST_S
+
+    async def load(self, names: tuple[str, ...]) -> None:
+        """Import these modules."""
+        for name in names:
+            await asyncio.sleep(0)
+            await self._formed()
+            importlib.import_module(name)
+
+    async def _formed(self) -> None:
+        """Wait while a view is being agreed, as long as there is patience left."""
+        while self._patience_s > 0 and self._forming():
+            began = self._clock()
+            await asyncio.sleep(FORMING_STEP_S)
+            self._patience_s -= self._clock() - began
 
 
 def _make_node(settings: ProcessSettings, pool: PeerPool) -> CoreNode:
@@ -204,26 +229,36 @@
         log.info("core_started", peer_port=settings.peer_port, epoch=node.epoch)
 
     async def _start_http(self, node: CoreNode, pulls: PullService) -> None:
-        """Load the HTTP libraries beside the running chain, then listen to the operator."""
-        settings = self._settings
-        await _import_in_steps(REACTOR_MODULES)
+        """Load the HTTP libraries beside the chain; read the platform, then listen to the operator."""
+        imports = ImportsInSteps(lambda: node.forming, self._loop.time)
+        await imports.load(REACTOR_MODULES)
         reactor = install_reactor(self._loop)
-        await _import_in_steps(HTTP_MODULES)
+        await imports.load(CLIENT_MODULES)
+        self._start_client(node, pulls, reactor)
+        await imports.load(SERVER_MODULES)
+        self._start_api(node, pulls, reactor)
+
+    def _start_client(self, node: CoreNode, pulls: PullService, reactor: Any) -> None:
+        """Log as the libraries do, and read the platform's list when this member is the tail."""
         import structlog
 
-        from roselink.control.api import AdminApi
         from roselink.control.logs import start_logs
         from roselink.control.platform_client import PlatformClient
 
-        start_logs(settings.node_name)
+        start_logs(self._settings.node_name)
         log.begin(structlog.get_logger("roselink.core"))
         reactor.startRunning(installSignalHandlers=False)
-        if settings.platform is not None:
-            self._client = PlatformClient(reactor, settings.platform, pulls.hosts_listed)
+        if self._settings.platform is not None:
+            self._client = PlatformClient(reactor, self._settings.platform, pulls.hosts_listed)
             node.on_view(self._role_changed)
             self._role_changed()
+
+    def _start_api(self, node: CoreNode, pulls: PullService, reactor: Any) -> None:
+        """Listen to the operator."""
+        from roselink.control.api import AdminApi
+
         self._api = AdminApi(node, pulls, reactor)
-        admin = settings.bind.get("admin")
+        admin = self._settings.bind.get("admin")
         if admin is not None:
             self._listening = reactor.listenTCP(admin[1], self._api.site(), backlog=128, interface=admin[0])
 
--- a/roselink/control/node.py
+++ b/roselink/control/node.py
@@ -151,6 +151,12 @@
         view = self._member.view if self._member is not None else None
         return () if view is None else tuple(link.voter.address for link in view.chain)
 
+    @property
+    def forming(self) -> bool:
+        """Whether enough members are there to agree on a view, and none is active here yet. Then each message
+        counts: whatever else can wait should."""
+        return self._member is not None and self._running and self._member.forming(self._loop.time())
+
     @property
     def disk_ok(self) -> bool:
         """Whether the disk took the last saves in time."""
--- a/roselink/coordination/member.py
+++ b/roselink/coordination/member.py
@@ -34,7 +34,7 @@
 from roselink.coordination.proposing import Proposer
 from roselink.coordination.reads import ReadRounds
 from roselink.coordination.state import EMPTY
-from roselink.coordination.views import Rules, first_view, link_of, reunited
+from roselink.coordination.views import Rules, first_view, link_of, majority, reunited
 from roselink.coordination.votes import Voting
 from roselink.protocol.chain import (
     ConfigurationOrder,
@@ -139,6 +139,13 @@
         """Whether the disk took the last saves, in time."""
         return self.disk.fit
 
+    def forming(self, now: float) -> bool:
+        """Whether a majority of the voters is heard while the newest view's chain is not active here."""
+        if self.view is None or self.chain.active:
+            return False
+        heard = {self.voter.address, *self.peers.heard(now)}
+        return sum(voter.address in heard for voter in self.view.voters) >= majority(self.view)
+
     def begin(self, now: float) -> list[Effect]:
         """The first step of the process."""
         if self._saved_first:
--- a/tests/control/core_alone.py
+++ b/tests/control/core_alone.py
@@ -27,7 +27,7 @@
     """A chain of one member, in memory."""
 
     def __init__(self, settings: ProcessSettings, pool: PeerPool, loop: asyncio.AbstractEventLoop) -> None:
-        self.epoch, self.is_tail = 1, True
+        self.epoch, self.is_tail, self.forming = 1, True, False
         self.tail: Address | None = (settings.ip, settings.peer_port)
         self.taken: dict[bytes, int] = {}
         self.newest = Confirmation(1, 0, None, 0)
