--- a/experiments/compare.py
+++ b/experiments/compare.py
@@ -111,6 +111,28 @@
             print(f"{title:40} {name:44} {before:8.4f} {after:8.4f}  {middle:+.4f} +- {half:.4f}")
 
 
+Paired = tuple[Play, Measured, Measured]
+
+
+def play_pairs(bench: str, before: str, after: str, plays: list[Play], jobs: int, why: str) -> list[Paired]:
+    """Each play in both checkouts, one behind the other."""
+    with ThreadPoolExecutor(jobs) as pool:
+        runs = [
+            (
+                play,
+                pool.submit(measure, bench, before, play, f"Trial: {why}"),
+                pool.submit(measure, bench, after, play, f"Trial: {why}"),
+            )
+            for play in plays
+        ]
+        return [(play, first.result(), second.result()) for play, first, second in runs]
+
+
+def _play(day: str, seed: int) -> Play:
+    site, _, name = day.rpartition(":")
+    return Play(site, name, seed)
+
+
 def compare(
     bench: str,
     before: str,
@@ -131,13 +153,7 @@
     :param jobs: plays at a time
     :param why: for the bench's journal
     """
-    plays = [Play(*day.rsplit(":", 1), seed) for seed in seeds for day in days]
-    with ThreadPoolExecutor(jobs) as pool:
-        runs = [
-            (play, *(pool.submit(measure, bench, tree, play, f"Trial: {why}") for tree in (before, after)))
-            for play in plays
-        ]
-        done = [(play, first.result(), second.result()) for play, first, second in runs]
+    done = play_pairs(bench, before, after, [_play(day, seed) for seed in seeds for day in days], jobs, why)
     for play, *both in done:
         worths = " ".join(f"{one.figures.get('worth', math.nan):.4f}" for one in both)
         print(f"{play.name:40} seed {play.seed:<8} {worths}", *(one.faults for one in both if one.faults))
