--- a/roselink/control/pulls.py
+++ b/roselink/control/pulls.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -20,6 +21,7 @@
 from roselink.protocol.records import record
 
 EPOCH_SHIFT = 32
+COMPRESSION = 1  # zlib's fastest: documents repeat themselves so much that more effort gains little
 FORMER_INCARNATIONS = 8  # kept of each gateway, so that a late pull of a former start changes nothing
 
 
@@ -138,6 +140,7 @@
         self._roster_version = 0
         self._hosts = HostVersions()
         self._payoffs = PayoffPool()
+        self._newest: tuple[int, bytes] | None = None  # a configuration's sequence and compressed document
 
     @property
     def versions(self) -> VersionVector:
@@ -283,7 +286,7 @@
         return ChangesReply(
             confirmed=True,
             vector=self._vector(confirmation),
-            configuration=_missed(held, confirmation),
+            configuration=self._compressed(held, confirmation),
             host_list=self._hosts.whole() if newer and changes is None else None,
             host_changes=changes,
             roster=self._roster if self._roster_version > held.roster else None,
@@ -291,6 +294,14 @@
             payoffs=self._payoffs.told(now),
         )
 
+    def _compressed(self, held: VersionVector, confirmation: Confirmation) -> bytes | None:
+        document = _missed(held, confirmation)
+        if document is None:
+            return None
+        if self._newest is None or self._newest[0] != confirmation.sequence:
+            self._newest = confirmation.sequence, zlib.compress(document, COMPRESSION)
+        return self._newest[1]
+
     def _vector(self, confirmation: Confirmation) -> VersionVector:
         return VersionVector(confirmation.sequence, self._hosts.version, self._roster_version)
 
--- a/roselink/distribution/host_changes.py
+++ b/roselink/distribution/host_changes.py
@@ -1,7 +1,9 @@
-"""A gateway's list of hosts out of what a `ChangesReply` brings."""
+"""A gateway's configuration and list of hosts out of what a `ChangesReply` brings."""
 
 from __future__ import annotations
 
+import zlib
+
 from roselink.model.fleet import Host
 from roselink.protocol.pull import ChangesReply, HostChanges, HostList, PullReply
 from roselink.protocol.records import RecordError, decode, number_of
@@ -11,15 +13,16 @@
 
 
 def completed(reply: ChangesReply, held: int, hosts: tuple[Host, ...]) -> PullReply | None:
-    """The reply with its whole list, from the list held under a version; None if it can't be read, or its
-    changes are from another version."""
+    """The reply with its whole document, and its whole list from the list held under a version; None if it
+    can't be read, or its changes are from another version."""
     try:
         listed = _listed(reply, held, hosts)
-    except RecordError:
+        configuration = None if reply.configuration is None else zlib.decompress(reply.configuration)
+    except (RecordError, zlib.error):
         return None
     if listed is None and reply.host_changes is not None:
         return None
-    known = reply.configuration, listed, reply.roster, reply.cores, reply.payoffs
+    known = configuration, listed, reply.roster, reply.cores, reply.payoffs
     return PullReply(reply.confirmed, reply.vector, *known)
 
 
--- a/roselink/protocol/pull.py
+++ b/roselink/protocol/pull.py
@@ -76,8 +76,9 @@
 @record(21)
 @dataclass(frozen=True, slots=True)
 class ChangesReply:
-    """As `PullReply`, but hosts come as an encoded `HostList`, or as encoded `HostChanges` from the version
-    that the pull named; both are None when it is the newest."""
+    """As `PullReply`, but the configuration is compressed (zlib), and hosts come as an encoded `HostList`, or
+    as encoded `HostChanges` from the version that the pull named; both are None when it is the newest. All
+    three are made once for all gateways."""
 
     confirmed: bool
     vector: VersionVector
--- a/tests/control/test_pulls.py
+++ b/tests/control/test_pulls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any
 
 import pytest
@@ -216,6 +217,18 @@
     assert (reply.confirmed, reply.vector.configuration, reply.configuration) == (True, sequence, expected)
 
 
+def test_a_document_is_compressed_once_for_all_gateways() -> None:
+    tail = Tail()
+    replies = []
+    for sequence in (5, 5, 6):
+        tail.desk.pull(tail.now, sequence, pull(), changes=True)
+        [answer] = tail.desk.confirmed(tail.now, sequence, confirmation(EPOCH, sequence, b"%d" % sequence))
+        assert isinstance(answer, AnswerChanges)
+        replies.append(answer.reply.configuration)
+    assert replies[0] is replies[1] is not None
+    assert [zlib.decompress(each) for each in replies if each] == [b"5", b"5", b"6"]
+
+
 def test_no_hosts_before_the_first_whole_list_of_the_view() -> None:
     tail = Tail()
     held = VersionVector(hosts=(2 << EPOCH_SHIFT) + 50)
--- a/tests/distribution/test_host_changes.py
+++ b/tests/distribution/test_host_changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 from dataclasses import replace
 
 import pytest
@@ -72,6 +73,16 @@
     assert completed(told, 5, (A, B)) is None
 
 
+def test_a_configuration_comes_compressed() -> None:
+    told = replace(reply(), configuration=zlib.compress(DOCUMENT))
+    assert completed(told, 5, ()) == PullReply(True, VECTOR, DOCUMENT, None, None, CORES)
+
+
+@pytest.mark.parametrize("spoilt", [b"", DOCUMENT, zlib.compress(DOCUMENT)[:-1]])
+def test_a_configuration_that_cannot_be_read_makes_the_reply_none(spoilt: bytes) -> None:
+    assert completed(replace(reply(), configuration=spoilt), 5, ()) is None
+
+
 class Pair:
     """A gateway's machine and the desk of a tail; messages go through their frames."""
 
