Core: the loop reads the disk at a start; the disk's thread begins with the first save

Nothing can be done before the disk is read, so nothing waits for it in vain. Whether the ends are fewer is measured next.

--- a/roselink/control/node.py
+++ b/roselink/control/node.py
@@ -30,6 +30,7 @@
 from roselink.protocol.peers import Address, PeerPool, Reply
 
 LEAVE_S = 1.0
+LOAD_AGAIN_S = 0.2
 _LEAVE_STEP_S = 0.02
 _SESSION_BITS = 61
 
@@ -46,6 +47,7 @@
         self._settings, self._pool, self._loop = settings, pool, loop
         self._storage = Storage(settings.data_dir)
         self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
+        self._worker: threading.Thread | None = None
         self._member: Member | None = None
         self._running = False
         self._logged_epoch = 0
@@ -57,10 +59,10 @@
     # --- life
 
     def start(self) -> None:
-        """Read the disk, then take part. Calls that come before end without a promise."""
+        """Read the disk, then take part. Nothing else can be done before the disk is read, so the loop's own
+        thread reads it; the disk's thread begins with the first save."""
         self._running = True
-        threading.Thread(target=self._work, name="disk", daemon=True).start()
-        self._queue_job(self._load)
+        self._load()
 
     async def stop(self) -> None:
         """Leave the chain if that is soon done, and end."""
@@ -205,6 +207,9 @@
             job()
 
     def _queue_job(self, job: Callable[[], None]) -> None:
+        if self._worker is None:
+            self._worker = threading.Thread(target=self._work, name="disk", daemon=True)
+            self._worker.start()
         self._jobs.put(job)
 
     def _hand_back(self, step: Callable[..., None], *values: Any) -> None:
@@ -215,22 +220,18 @@
             log.info("disk_outlived_loop")
 
     def _load(self) -> None:
-        """In the worker: read the disk; it is asked again until it answers."""
+        """Read the disk; it is asked again until it answers."""
+        if not self._running:
+            return
         try:
             loaded = self._storage.load()
         except OSError as error:
             log.warning("disk_read_failed", error=str(error))
-            self._hand_back(self._load_later)
+            self._loop.call_later(LOAD_AGAIN_S, self._load)
             return
-        self._hand_back(self._loaded, loaded)
-
-    def _load_later(self) -> None:
-        if self._running:
-            self._loop.call_later(0.2, self._queue_job, self._load)
+        self._loaded(loaded)
 
     def _loaded(self, loaded: Loaded) -> None:
-        if not self._running:
-            return
         settings = self._settings
         start = Start(
             address=f"{settings.ip}:{settings.peer_port}",
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import threading
 from pathlib import Path
 
 import pytest
@@ -117,6 +118,35 @@
         process.kill()
 
 
+async def restart_alone(folder: Path) -> list[str]:
+    """The threads that a member has begun on a disk that holds its state."""
+    port = free_port()
+    first = Process(HOSTS[0], port, folder)
+    await first.begin()
+    async with asyncio.timeout(10):
+        while first.node.epoch == 0 or not any(folder.iterdir()):
+            await asyncio.sleep(0.01)
+    await first.node.stop()
+    first.kill()
+    async with asyncio.timeout(10):
+        while _disk_threads():
+            await asyncio.sleep(0.01)
+    again = Process(HOSTS[0], port, folder, bootstrap=False)
+    await again.begin()
+    assert again.node.epoch == 1
+    begun = _disk_threads()
+    again.kill()
+    return begun
+
+
+def _disk_threads() -> list[str]:
+    return [thread.name for thread in threading.enumerate() if thread.name == "disk"]
+
+
+def test_the_disk_is_read_by_the_loop_and_its_thread_begins_with_a_save(tmp_path: Path) -> None:
+    assert asyncio.run(restart_alone(tmp_path)) == []
+
+
 @pytest.mark.parametrize("planned", [False, True])
 def test_three_nodes_serve_on_when_the_head_ends(tmp_path: Path, planned: bool) -> None:
     asyncio.run(play(tmp_path, planned))
