Views: machines that may join a whole chain wait 0.6 s for others that soon may

Each view is a sync down a longer chain, in which no pull is confirmed, and a new list of hosts for every gateway. A proposal that mends a chain never waits. The first view after a loss of all is unchanged.

--- a/roselink/control/app.py
+++ b/roselink/control/app.py
@@ -219,9 +219,9 @@
         settings = self._settings
         log.name(settings.node_name)
         self._node = node = self._make_node(settings, self._pool)
+        self._pulls = importlib.import_module("roselink.control.pull_service").PullService(node, self._pool)
         await self._listen(settings.ip, settings.peer_port)
         node.start()
-        self._pulls = importlib.import_module("roselink.control.pull_service").PullService(node, self._pool)
         self._pulls.start()
         await self._start_http(node, self._pulls)
         gc.collect()
--- a/roselink/coordination/member.py
+++ b/roselink/coordination/member.py
@@ -140,7 +140,10 @@
         return self.disk.fit
 
     def forming(self, now: float) -> bool:
-        """Whether a majority of the voters is heard while the newest view's chain is not active here."""
+        """Whether others wait for this member: it is not on its disk yet, or a majority of the voters is
+        heard while the newest view's chain is not active here."""
+        if not self._saved_first:
+            return True
         if self.view is None or self.chain.active:
             return False
         heard = {self.voter.address, *self.peers.heard(now)}
--- a/roselink/coordination/proposing.py
+++ b/roselink/coordination/proposing.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from roselink.coordination.effects import Emit, Send
-from roselink.coordination.views import Peer, Rules, majority, plan
+from roselink.coordination.views import Peer, Rules, majority, plan, waits_for_joiners
 from roselink.coordination.votes import Attempt, Voting
 from roselink.protocol.chain import Accept, Accepted, Ballot, Prepare, Promise, Refusal, View, Voter
 
@@ -21,6 +21,9 @@
 ATTEMPT_MOST_S = 1.6
 ASK_AGAIN_S = 0.15  # voters without an answer are asked again
 SETTLING_S = 1.0  # in a view so young, members that are new to the chain may still take over its state
+JOIN_TOGETHER_S = (
+    0.6  # a machine that may join waits so long for others that soon may: each view costs a sync
+)
 OUTSIDE_S = 1.0  # how much later members propose that see others content with the chain
 
 
@@ -74,9 +77,12 @@
         delay = self._rank(view, peers) * RANK_S
         if self._open_since is not None and now - self._open_since >= OPEN_S + delay:
             return wanted or voting.proposal
-        if self._wanted_since is None or now - self._wanted_since < delay + (OUTSIDE_S if outside else 0.0):
+        if wanted is None or self._wanted_since is None:
             return None
-        return wanted
+        wanted_s = now - self._wanted_since
+        if wanted_s < JOIN_TOGETHER_S and waits_for_joiners(view, wanted, peers):
+            return None
+        return None if wanted_s < delay + (OUTSIDE_S if outside else 0.0) else wanted
 
     def _rank(self, view: View, peers: Mapping[str, Peer]) -> int:
         """How many live voters come before this one: the chain from its head, then the rest."""
--- a/roselink/coordination/views.py
+++ b/roselink/coordination/views.py
@@ -141,6 +141,14 @@
     return all(_takes_part(view, link, peers.get(link.voter.address)) for link in view.chain)
 
 
+def waits_for_joiners(view: View, proposal: View, peers: Mapping[str, Peer]) -> bool:
+    """Whether a proposal only lets machines join a whole chain, while others are about to be able to join."""
+    members = {link.voter for link in proposal.chain}
+    if not whole(view, peers) or not {link.voter for link in view.chain} < members:
+        return False
+    return any(peer.fit and not peer.steady and peer.voter not in members for peer in peers.values())
+
+
 def _complete(view: View, peers: Mapping[str, Peer]) -> bool:
     """Whether every known machine is in the chain and well: the ordinary state, told without a search."""
     if not len(peers) == len(view.chain) == len(view.voters):
--- a/tests/coordination/test_member.py
+++ b/tests/coordination/test_member.py
@@ -66,6 +66,25 @@
         return oldest
 
 
+def heartbeat_of(voter: Voter) -> Heartbeat:
+    return Heartbeat(voter, 9, 1, 1, 1, False, True, False, False, ("b:1",))
+
+
+def test_others_wait_for_a_member_until_its_view_is_active() -> None:
+    new = Stage(FRESH)
+    assert new.member.forming(0.0)  # not on its disk yet
+    while any(isinstance(effect, Persist) for effect in new.out):
+        new.save()
+    assert not new.member.forming(0.0)  # nobody is heard
+    stored = Stage(STORED)
+    assert not stored.member.forming(0.0)
+    stored.give(heartbeat_of(A))
+    assert stored.member.forming(0.1)
+    assert not stored.member.forming(9.0)  # silent since
+    stored.member.chain.active = True
+    assert not stored.member.forming(0.1)
+
+
 @pytest.mark.parametrize(
     ("start", "voter", "epoch"),
     [
--- a/tests/coordination/test_views.py
+++ b/tests/coordination/test_views.py
@@ -6,7 +6,15 @@
 
 import pytest
 
-from roselink.coordination.views import Peer, Rules, first_view, intact, majority, plan
+from roselink.coordination.views import (
+    Peer,
+    Rules,
+    first_view,
+    intact,
+    majority,
+    plan,
+    waits_for_joiners,
+)
 from roselink.protocol.chain import Link, View, Voter
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -53,6 +61,34 @@
     return voters, "".join(link.voter.address for link in proposal.chain)
 
 
+def unsteady(name: str) -> Peer:
+    return joiner(name, steady=False)
+
+
+JOINED_BY_C = (peer("a"), peer("b"), joiner("c"))
+
+
+@pytest.mark.parametrize(
+    ("peers", "waits"),
+    [
+        pytest.param(JOINED_BY_C, False, id="one joins"),
+        pytest.param((*JOINED_BY_C, joiner("d")), False, id="two join"),
+        pytest.param((*JOINED_BY_C, unsteady("d")), True, id="another may soon"),
+        pytest.param((*JOINED_BY_C, gone("d")), False, id="another is gone"),
+        pytest.param((*JOINED_BY_C, joiner("d", steady=False, disk_ok=False)), False, id="another can't"),
+        pytest.param((gone("a"), peer("b"), joiner("c"), unsteady("d")), False, id="the head is gone"),
+        pytest.param(
+            (peer("a", session=9), peer("b"), joiner("c"), unsteady("d")), False, id="the head is restarted"
+        ),
+        pytest.param((peer("a"), peer("b"), unsteady("c")), False, id="nothing is proposed"),
+    ],
+)
+def test_joiners_wait_for_each_other(peers: tuple[Peer, ...], waits: bool) -> None:
+    pair = View(1, (Voter("a", 0), Voter("b", 0)), tuple(Link(Voter(name, 0), 1, 1) for name in "ab"))
+    proposal = plan(pair, picture(*peers), Rules(0))
+    assert waits is (proposal is not None and waits_for_joiners(pair, proposal, picture(*peers)))
+
+
 THREE = first_view("abc")
 FOUR = first_view("abcd")
 FIVE = first_view("abcde")
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -278,6 +278,20 @@
             "            pass",
         ),
     ),
+    *_of(
+        "control/app.py",
+        ("tests/control/test_imports.py",),
+        ("imports go on while a view is agreed", "            await self._formed()\n", ""),
+    ),
+    *_of(
+        "coordination/proposing.py",
+        COORDINATION,
+        (
+            "joiners come one by one",
+            "if wanted_s < JOIN_TOGETHER_S and waits_for_joiners(view, wanted, peers):",
+            "if False:",
+        ),
+    ),
     *_of(
         "control/updates.py",
         UPDATES,
--- a/tests/simulation/test_days.py
+++ b/tests/simulation/test_days.py
@@ -55,6 +55,16 @@
         assert submit(world, machine, first) == TakenOrder(1)
 
 
+@pytest.mark.parametrize("seed", [0, 1, 3])
+def test_a_large_core_that_starts_comes_together_in_a_few_views(seed: int) -> None:
+    world = World(seed, 9, 2, 3)
+    world.run(6.0)
+    tail = world.active_tail()
+    assert tail is not None and tail.member is not None and tail.member.view is not None
+    assert len(tail.member.view.chain) == 9
+    assert tail.member.view.epoch <= 6  # 8 where each machine joins as soon as it may
+
+
 @pytest.mark.parametrize("victim", [0, 1, 2])
 @pytest.mark.parametrize("trouble", ["kill", "freeze", "isolate", "stall", "full"])
 @pytest.mark.parametrize("by", [0, 1, 2])
