Admission: clients of a gateway that was never configured come back after 1.2 s, spread

Change: such a gateway tells 0.72 to 1.68 s, drawn, and no more than 0.3 of the client's time. A client that comes later than it had to loses little: its objective counts anew.

--- a/experiments/own_days.py
+++ b/experiments/own_days.py
@@ -2,7 +2,8 @@
 
 `python -m experiments.own_days SITE OUT --days 60 --seed 1` keeps the deployment of SITE and replaces its
 standard days. Each day has two kinds of trouble, each twice and close together, above a background of
-configuration changes. Days 1 to 5 of every ten follow `SCENARIOS`: what operators saw go wrong before.
+configuration changes. The first half of every fourteen follows `SCENARIOS`: what operators saw go wrong
+before.
 """
 
 from __future__ import annotations
@@ -61,6 +62,11 @@
     {"kind": "core_cut", "count": 1, "for_s": 6.0, "how": "near"},
     {"kind": "core_cut", "count": 1, "for_s": 6.0, "how": "seeds"},
     {"kind": "core_cut", "count": 1, "for_s": 8.0, "how": "lure"},
+    {"kind": "core_cut", "for_s": 5.0, "how": "split hard"},
+    {"kind": "core_cut", "count": 1, "for_s": 4.0, "how": "behind"},
+    {"kind": "core_cut", "count": 1, "for_s": 5.0, "how": "relieve"},
+    {"kind": "herd_kill", "on": "core", "for_s": 1.0, "how": "taken all"},
+    {"kind": "big_config", "count": 700},
     {"kind": "config_storm", "gap_s": 0.2, "for_s": 5.0},
     {"kind": "config_race", "count": 4, "gap_s": 0.4},
     {"kind": "bad_config", "count": 6, "gap_s": 0.3},
@@ -165,7 +171,35 @@
     ]
 
 
-SCENARIOS: tuple[Scenario, ...] = (long_cut, lost_answers, loss_after_repair, many_changes, spoilt_answers)
+def losses_that_overlap(draw: random.Random) -> list[Trouble]:
+    """Halves that can't agree, a minority that missed changes, and power lost by all machines meanwhile."""
+    return [
+        {"kind": "core_cut", "for_s": draw.uniform(3, 6), "how": "split hard", "at": 4.0},
+        {"kind": "core_cut", "count": 1, "for_s": 3.0, "how": "behind", "at": 13.0},
+        {"kind": "herd_kill", "on": "core", "for_s": 1.0, "how": "taken all", "at": draw.uniform(17, 21)},
+        {"kind": "config_race", "count": 8, "gap_s": 2.0, "at": 5.0},
+    ]
+
+
+def last_disks(draw: random.Random) -> list[Trouble]:
+    """Disks and the power of all machines are lost shortly before the end, which may take disks as well."""
+    return [
+        {"kind": "after_ack_wipe", "for_s": 1.5, "how": draw.choice(("", "oldest")), "at": 12.0},
+        {"kind": "herd_kill", "on": "core", "for_s": 1.0, "how": "taken all", "at": 12.0 + draw.random()},
+        {"kind": "config_storm", "gap_s": 0.5, "count": 12, "at": 9.0},
+        {"kind": "herd_kill", "on": "core", "for_s": 1.0, "how": "taken all", "at": draw.uniform(25, 28)},
+    ]
+
+
+SCENARIOS: tuple[Scenario, ...] = (
+    long_cut,
+    lost_answers,
+    loss_after_repair,
+    many_changes,
+    spoilt_answers,
+    losses_that_overlap,
+    last_disks,
+)
 
 
 def value_of(value: object) -> str:
--- a/roselink/dataplane/admission.py
+++ b/roselink/dataplane/admission.py
@@ -15,6 +15,9 @@
 MARGIN_S = 0.030
 MARGIN_PART = 0.25  # of the time that a client in a hurry gives: the margin shrinks to fit into that
 NOT_CONFIRMED_RETRY_S = 0.25  # configuration, keys or places are missing here: other gateways have them
+UNCONFIGURED_RETRY_S = 1.2  # from a start to a list of hosts after a loss of all, about (docs/policy.md)
+UNCONFIGURED_SPREAD = 0.4  # part of it, either way
+CLIENT_PART = 0.3  # clients wait a third of the time they have left, and not longer
 
 
 class Refusal(NamedTuple):
@@ -34,6 +37,17 @@
 NOT_CONFIRMED = Refusal(503, NOT_CONFIRMED_RETRY_S)
 
 
+def unconfigured_retry_s(request: ProxyRequest, chance: float) -> float:
+    """When a client is to come back to a gateway that was never configured, in seconds.
+
+    Most likely many gateways start, and the others are no better off. A client that comes back before there
+    are hosts is refused again, and few come a third time; one that comes later than it had to loses little.
+    `chance` is drawn from 0 to 1, so that those who were refused together come back apart.
+    """
+    told = UNCONFIGURED_RETRY_S * (1 + UNCONFIGURED_SPREAD * (2 * chance - 1))
+    return told if request.deadline_s is None else min(told, CLIENT_PART * request.deadline_s)
+
+
 def judge(table: RouteTable | None, keys_usable: bool, request: ProxyRequest) -> Refusal | Admitted:
     """What the configuration says. A gateway that can't confirm its keys refuses by none, and does not call
     a route unknown, as it may have missed one."""
--- a/roselink/dataplane/engine.py
+++ b/roselink/dataplane/engine.py
@@ -23,6 +23,7 @@
     facts_of,
     give_up_at,
     judge,
+    unconfigured_retry_s,
 )
 from roselink.dataplane.attempts import Attempts
 from roselink.dataplane.exchange import ClientAnswer, Exchange
@@ -105,6 +106,9 @@
     def accept(self, request: ProxyRequest, client: ClientAnswer) -> Exchange | None:
         """Take a request; None if it is answered already. The client gets one answer, unless it leaves."""
         self.counts["requests"] += 1
+        if self.table is None:
+            self._refuse(client, 503, unconfigured_retry_s(request, self._random.random()))
+            return None
         verdict = judge(self.table, self._authority.may_use_keys(), request)
         if isinstance(verdict, Refusal):
             self._refuse(client, *verdict)
--- a/tests/dataplane/test_checks.py
+++ b/tests/dataplane/test_checks.py
@@ -14,6 +14,7 @@
     amount_of,
     give_up_at,
     judge,
+    unconfigured_retry_s,
 )
 from roselink.dataplane.requests import (
     ProxyRequest,
@@ -275,6 +276,22 @@
         assert got == verdict
 
 
+@pytest.mark.parametrize(
+    ("deadline", "chance", "told_s"),
+    [
+        (b"20000", 0.0, 0.72),
+        (b"20000", 0.5, 1.2),
+        (b"20000", 1.0, 1.68),
+        (b"3000", 1.0, 0.9),
+        (b"1500", 0.0, 0.45),
+        (b"", 0.5, 1.2),
+    ],
+)
+def test_when_clients_of_a_fleet_that_starts_come_back(deadline: bytes, chance: float, told_s: float) -> None:
+    request = made((b"X-Request-Deadline", deadline))
+    assert unconfigured_retry_s(request, chance) == pytest.approx(told_s)
+
+
 def test_without_tenants_no_key_is_asked_for() -> None:
     got = judge(table(tenants=[]), False, made())
     assert isinstance(got, Admitted)
