--- /dev/null
+++ b/experiments/losses.py
@@ -0,0 +1,69 @@
+"""Says where worth is lost, from reports of the users' bench or from entries of its journal.
+
+    python -m experiments.losses FILE...
+
+Each day is a row: worth, what its parts cost (weight times what they lack of 1), and each price, as worth.
+The last row is the mean over the days with half of the width of its 95% interval; the columns go by that mean.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import defopt  # type: ignore[import-untyped]
+
+from experiments.compare import interval
+
+LEAST_SHOWN = 0.0005  # causes below this on average are left out
+
+
+@dataclass(frozen=True, slots=True)
+class DayLosses:
+    """What one played day lost, by cause."""
+
+    name: str
+    worth: float
+    causes: dict[str, float]
+
+
+def read_days(document: dict[str, Any]) -> Iterator[DayLosses]:
+    """The days of a journal entry, or the one day of a report."""
+    for number, day in enumerate(document.get("days", [document])):
+        causes = {name: weight * (1.0 - value) for name, weight, value in day["parts"]}
+        causes |= {name: value for name, _, value in day["prices"]}
+        name = f"{document.get('site', 'report')}:{day.get('name', number)}"
+        yield DayLosses(name, day["G"], causes)
+
+
+def table(days: list[DayLosses]) -> list[list[str]]:
+    """The rows of the table, the head first."""
+    names = list(dict.fromkeys(name for day in days for name in day.causes))
+    columns = {name: interval([day.causes.get(name, 0.0) for day in days]) for name in names}
+    shown = sorted(
+        (name for name in names if columns[name][0] >= LEAST_SHOWN), key=lambda name: -columns[name][0]
+    )
+    worth, half = interval([day.worth for day in days])
+    rows = [["day", "worth", *shown]]
+    for day in days:
+        rows.append([day.name, f"{day.worth:.3f}", *(f"{day.causes.get(name, 0.0):.4f}" for name in shown)])
+    means = [f"{columns[name][0]:.4f} +- {columns[name][1]:.4f}" for name in shown]
+    return [*rows, ["mean", f"{worth:.3f} +- {half:.3f}", *means]]
+
+
+def show_losses(*files: str) -> None:
+    """Print the losses of all days in these files as a table.
+
+    :param files: reports (`run --report`) and journal entries
+    """
+    days = [day for file in files for day in read_days(json.loads(Path(file).read_text(encoding="utf-8")))]
+    for row in table(days):
+        print("| " + " | ".join(row) + " |")
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(show_losses))
--- /dev/null
+++ b/tests/experiments/test_losses.py
@@ -0,0 +1,50 @@
+"""Tables of losses, and differences of paired plays, from made-up reports."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from experiments.compare import interval, read_report
+from experiments.losses import read_days, table
+
+REPORT = {
+    "G": 0.5,
+    "parts": [["whole day", 0.7, 0.9], ["worst windows", 0.3, 0.5]],
+    "prices": [["machines", 100.0, 0.2], ["probes", 0.0, 0.0]],
+    "all": {"n": 100, "late": 5, "refused": 2},
+    "breaks": {"TWICE": ["x"]},
+    "exits": [],
+    "short": [],
+    "fault": None,
+}
+
+
+def test_causes_come_by_what_they_cost() -> None:
+    head, row, mean = table(list(read_days(REPORT)))
+    assert head == ["day", "worth", "machines", "worst windows", "whole day"]
+    assert row == ["report:0", "0.500", "0.2000", "0.1500", "0.0700"]
+    assert mean[:2] == ["mean", "0.500 +- inf"]
+
+
+def test_days_of_a_journal_entry() -> None:
+    entry = {"site": "one", "days": [REPORT | {"name": "a"}, REPORT | {"name": "b", "G": 0.7}]}
+    days = list(read_days(entry))
+    assert [day.name for day in days] == ["one:a", "one:b"]
+    assert table(days)[-1][1] == "0.600 +- 1.271"
+
+
+@pytest.mark.parametrize(
+    ("values", "middle", "half"),
+    [([], 0.0, math.inf), ([0.3], 0.3, math.inf), ([1.0, 1.0, 1.0], 1.0, 0.0), ([0.0, 2.0], 1.0, 12.71)],
+)
+def test_intervals(values: list[float], middle: float, half: float) -> None:
+    assert interval(values) == pytest.approx((middle, half))
+
+
+def test_what_a_report_says() -> None:
+    measured = read_report(REPORT)
+    assert measured.figures["late"] == 0.05
+    assert measured.figures["price: machines"] == 0.2
+    assert measured.faults == ("broken: TWICE",)
