--- a/roselink/simulation/days.py
+++ b/roselink/simulation/days.py
@@ -232,6 +232,43 @@
     return day.judge()
 
 
+def halves_day(seed: int, machines: int, tolerated: int) -> Played:
+    """The core falls into halves, whatever is tolerated, machines lose power in both, and losses overlap.
+
+    No more disks are lost than is tolerated. Operators, readers and gateways reach both halves.
+    """
+    world = World(seed, machines, tolerated)
+    day = Day(world)
+    world.run(3.0 + SYNC_S)
+    draw = world.random
+    for _ in range(3):
+        _halve(world)
+        world.run(draw.uniform(1.0, 4.0))
+        for hurt in draw.sample(world.up(), draw.randint(0, machines)):
+            harm(world, hurt, draw.choice(("kill", "power", "freeze")))
+        world.run(draw.choice([0.1, 1.0, 3.0]))
+        for machine in list(world.machines.values()):
+            mend(world, machine)
+        if draw.random() < 0.5:
+            world.run(8.0 + SYNC_S)
+            _ruin(world)
+            for gateway in day.gateways:
+                gateway.start()
+        world.run(8.0 + SYNC_S)
+    day.stop()
+    world.run(8.0)
+    return day.judge()
+
+
+def _halve(world: World) -> None:
+    """Cut all links between two halves, drawn anew each time."""
+    drawn = world.random.sample(list(world.machines), len(world.machines))
+    half = len(drawn) // 2
+    for left in drawn[:half]:
+        for right in drawn[half:]:
+            world.separate(left, right)
+
+
 def day_of_seed(seed: int) -> Played:
     """One day of a kind, a size and links that follow from its seed."""
     machines = 3 + seed % 3
@@ -242,6 +279,8 @@
         return long_cut_day(seed, machines)
     if seed % 16 == 3:
         return repair_day(seed, machines)
+    if seed % 16 == 5:
+        return halves_day(seed, machines, tolerated)
     return trouble_day(seed, machines, tolerated, lossy=bool(seed % 2))
 
 
--- a/tests/simulation/test_days.py
+++ b/tests/simulation/test_days.py
@@ -9,6 +9,7 @@
 from roselink.protocol.chain import ConfigurationOrder
 from roselink.simulation.days import (
     day_of_seed,
+    halves_day,
     harm,
     in_chain,
     long_cut_day,
@@ -219,6 +220,11 @@
     repair_day(seed, 3 + seed % 2)
 
 
+@pytest.mark.parametrize("seed", range(700, 706))
+def test_halves_that_cannot_agree_and_losses_that_overlap(seed: int) -> None:
+    halves_day(seed, 3 + seed % 3, 2 if seed % 3 == 2 else 1)
+
+
 @pytest.mark.many_seeds
 @pytest.mark.parametrize("seed", range(1000, 5000))
 def test_many_days(seed: int) -> None:
