--- a/experiments/configurations.py
+++ b/experiments/configurations.py
@@ -8,7 +8,9 @@
 
 from experiments.measure import heap_bytes, machine, processor_us, show, show_line
 from experiments.shapes import make_document
-from roselink.control.checking import Checked, check
+from roselink.control.checking import Checked, Refused, check
+from roselink.control.contract import ConfigurationOrder, Confirmation
+from roselink.control.updates import order_of_update, read_call
 from roselink.dataplane.routes import RouteTable
 from roselink.model.configuration import Configuration
 
@@ -24,6 +26,8 @@
     routes: int
     document_bytes: int
     check_us: float
+    update_us: float
+    update_memory: int
     read_us: float
     table_us: float
     memory: int
@@ -39,21 +43,60 @@
         routes,
         len(body),
         processor_us(lambda: check(body), times),
+        processor_us(lambda: _updated(body), times),
+        heap_bytes(lambda: _updated(body)),
         processor_us(lambda: Configuration.from_document(json.loads(body)), times),
         processor_us(lambda: RouteTable(configuration), times),
         heap_bytes(lambda: RouteTable(Configuration.from_document(json.loads(body)))),
     )
 
 
+def _updated(body: bytes) -> ConfigurationOrder:
+    """One route changed by an update of items, merged onto the document."""
+    document = json.loads(body)
+    generation = document["generation"]
+    route = document["routes"][0] | {"timeout_ms": 1234}
+    asked = {"generation": generation + 1, "upsert": {"routes": [route]}}
+    call = read_call(generation, json.dumps(asked).encode())
+    if isinstance(call, Refused):
+        raise RuntimeError(str(call))
+    order = order_of_update(call.base, call.update, call.digest, Confirmation(1, 1, body, generation))
+    if isinstance(order, Refused):
+        raise RuntimeError(str(order))
+    return order
+
+
 def main(routes: Sequence[int] = ROUTES, tenants: int = TENANTS, times: int = TIMES) -> None:
     """Measure and print."""
     print(machine())
     costs = [measure(count, tenants, times) for count in routes]
-    columns = ("routes", "document bytes", "check us", "read us", "table us", "heap bytes")
-    rows = [(c.routes, c.document_bytes, c.check_us, c.read_us, c.table_us, c.memory) for c in costs]
+    columns = (
+        "routes",
+        "document bytes",
+        "check us",
+        "update us",
+        "update heap",
+        "read us",
+        "table us",
+        "heap bytes",
+    )
+    rows = [
+        (
+            c.routes,
+            c.document_bytes,
+            c.check_us,
+            c.update_us,
+            c.update_memory,
+            c.read_us,
+            c.table_us,
+            c.memory,
+        )
+        for c in costs
+    ]
     show(f"A configuration with {tenants} tenants", columns, rows)
     show_line("document", "bytes", "route", [(c.routes, c.document_bytes) for c in costs])
     show_line("check", "us", "route", [(c.routes, c.check_us) for c in costs])
+    show_line("update", "us", "route", [(c.routes, c.update_us) for c in costs])
     show_line("read", "us", "route", [(c.routes, c.read_us) for c in costs])
     show_line("table", "us", "route", [(c.routes, c.table_us) for c in costs])
 
