Updates: a document with half a character in a field that is passed over can be written

The merged document was written with ensure_ascii off; a lone surrogate in an unknown field, which JSON and the check allow, then raised UnicodeEncodeError inside the node's effects, so that an operator's update ended without an outcome and what stood behind it in the same step was not carried out. Proved by the new test, which fails without the mend. Nesting up to the reader's bound raises nowhere (a test). Change: documents of updates are written in ASCII; what they say is the same.

--- a/roselink/control/updates.py
+++ b/roselink/control/updates.py
@@ -136,7 +136,8 @@
 
 
 def _order(base: int, checked: Checked, digest: bytes) -> ConfigurationOrder:
-    document = json.dumps(checked.document, separators=(",", ":"), ensure_ascii=False).encode()
+    # In ASCII: half a character, which JSON allows in fields that are passed over, has no bytes of its own.
+    document = json.dumps(checked.document, separators=(",", ":")).encode()
     return ConfigurationOrder(base, checked.generation, document, digest)
 
 
--- a/roselink/coordination/proposing.py
+++ b/roselink/coordination/proposing.py
@@ -21,9 +21,7 @@
 ATTEMPT_MOST_S = 1.6
 ASK_AGAIN_S = 0.15  # voters without an answer are asked again
 SETTLING_S = 1.0  # in a view so young, members that are new to the chain may still take over its state
-JOIN_TOGETHER_S = (
-    0.6  # a machine that may join waits so long for others that soon may: each view costs a sync
-)
+JOIN_TOGETHER_S = 0.6  # who may join a whole chain waits so long for others that soon may
 OUTSIDE_S = 1.0  # how much later members propose that see others content with the chain
 
 
--- a/tests/control/test_updates.py
+++ b/tests/control/test_updates.py
@@ -175,6 +175,21 @@
     assert (got.base, got.generation, got.digest) == (7, 9, b"digest")
 
 
+def test_half_a_character_in_an_unknown_field_goes_on_as_it_came() -> None:
+    odd = update(b'{"generation":9,"upsert":{"notes":[{"name":"n","text":"\\ud800"}]}}')
+    got = order_of_update(7, odd, b"digest", confirmed(BASE))
+    assert isinstance(got, ConfigurationOrder)
+    assert json.loads(got.document)["notes"] == [{"name": "n", "text": "\ud800"}]
+
+
+def test_no_depth_of_nesting_raises() -> None:
+    for depth in range(800, 1000):
+        body = b'{"generation":9,"upsert":{"note":{"deep":%s%s}}}' % (b"[" * depth, b"]" * depth)
+        read = read_update(body)
+        if isinstance(read, Update):
+            order_of_update(7, read, b"digest", confirmed(BASE))
+
+
 def test_an_update_on_nothing() -> None:
     first = update(bytes_of(upsert={"routes": [second()], "services": [service(name="records")]}))
     got = order_of_update(0, first, b"digest", confirmed(None))
