Retries in service: the test of a keyed retry runs without hedges; what they cost has a test

Beside load the clock's steps of 1 ms make a request outlast the 95th percentile, a hedge spends that token, and the next request's retry is refused at once, as the budget wants. Change: the test says that it is without hedges; a test of the decider shows the refusal.

--- a/tests/balancer/test_balance.py
+++ b/tests/balancer/test_balance.py
@@ -25,6 +25,7 @@
     Fail,
     Group,
     ListKind,
+    Log,
     Refuse,
     Send,
     Server,
@@ -160,6 +161,22 @@
     assert len(harness.sends[request]) == 1
 
 
+def test_a_retry_whose_token_a_hedge_has_spent_is_refused_at_once() -> None:
+    """Recorded beside load: with little traffic the bucket holds one token, and a hedge takes it."""
+    harness = BalancerHarness(settings(parallel_tries=True), 4)
+    for _ in range(5):
+        harness.done(harness.arrive(), Outcome.SUCCESS, 1000)
+    hedged = harness.arrive()
+    harness.pass_time(2000)
+    assert len(harness.sends[hedged]) == 2
+    harness.done(hedged, Outcome.SUCCESS, 2000)
+    assert harness.balancer.state.routes[0].retry_budget.tokens < 1
+    request = harness.arrive()
+    actions = harness.done(request, Outcome.RESET, 1000)
+    assert [type(action) for action in actions if not isinstance(action, Log)] == [Refuse]
+    assert len(harness.sends[request]) == 1
+
+
 def test_a_draining_or_gone_server_gets_nothing_new_at_once() -> None:
     harness = BalancerHarness(settings(), 3)
     harness.feed(
--- a/tests/gateway/test_retries.py
+++ b/tests/gateway/test_retries.py
@@ -106,7 +106,9 @@
 
 @on_loop
 async def test_a_keyed_request_goes_out_again_with_its_key() -> None:
-    async with world(break_off, serve_ok) as w:
+    """Without hedges: beside load one now and then spent the token that the retry needs."""
+    without_hedges = settings_data(limits={"parallel_tries": False})
+    async with world(break_off, serve_ok, settings=without_hedges) as w:
         for _ in range(200):
             async with w.client() as client:
                 assert (await client.ask("/seat-checkout/k", b"x")).status == 200
