--- a/tests/balancer/test_balance.py
+++ b/tests/balancer/test_balance.py
@@ -162,7 +162,7 @@
 
 
 def test_a_retry_whose_token_a_hedge_has_spent_is_refused_at_once() -> None:
-    """Recorded beside load: with little traffic the bucket holds one token, and a hedge takes it."""
+    """Recorded beside load: with little traffic the bucket holds one token, which a hedge takes."""
     harness = BalancerHarness(settings(parallel_tries=True), 4)
     for _ in range(5):
         harness.done(harness.arrive(), Outcome.SUCCESS, 1000)
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -47,7 +47,7 @@
 
     async def until_logged(self, log: Path, event: str, times: int) -> None:
         """Read on until a machine's log has an event so many times."""
-        while log.read_text().count(event) < times:
+        while count_of(event, log) < times:
             await self.line()
 
     async def serve_more(self) -> None:
@@ -68,6 +68,11 @@
                 os.kill(pid, 0)
 
 
+def count_of(event: str, log: Path) -> int:
+    """How often a log has an event."""
+    return log.read_text().count(event)
+
+
 async def start(*arguments: str) -> Run:
     """A lab in a process of its own."""
     process = await asyncio.create_subprocess_exec(
