Controller: a reload reaches the chain again: the driver's method had another name

The driver was made through importlib, so mypy saw no type, and the process's tests run with a stand-in that had the old name. SIGHUP with other seeds raised AttributeError in a callback of the loop: logged, and the member went on sending heartbeats to the old seeds. Ruled out: gateways (PullClient.reload is tested with the real machine). Change: one name, the driver and the pull service are imported as types (mypy now compares them with the interface), and a test with the real program.

--- a/roselink/controller/app.py
+++ b/roselink/controller/app.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import gc
-import importlib
 import os
 import signal
 from typing import TYPE_CHECKING
@@ -57,9 +56,9 @@
 
 
 def _make_chain(settings: ProcessSettings, pool: PeerPool) -> RunnableChain:
-    module = importlib.import_module("roselink.controller.chain_driver")
-    chain: RunnableChain = module.ChainDriver(settings, pool, asyncio.get_running_loop())
-    return chain
+    from roselink.controller.chain_driver import ChainDriver
+
+    return ChainDriver(settings, pool, asyncio.get_running_loop())
 
 
 class CoreProcess:
@@ -131,12 +130,12 @@
             self._loop.stop()
 
     async def _start(self) -> None:
+        from roselink.controller.pull_driver import PullDriver
+
         settings = self._settings
         log.set_node_name(settings.node_name)
         self._chain = chain = self._make_chain(settings, self._pool)
-        self._pulls = importlib.import_module("roselink.controller.pull_driver").PullDriver(
-            chain, self._pool
-        )
+        self._pulls = PullDriver(chain, self._pool)
         await self._listen(settings.ip, settings.peer_port)
         chain.start()
         self._pulls.start()
@@ -224,7 +223,7 @@
             log.error("settings_rejected", faults=error.faults)
             return
         if self._chain is not None and settings.seeds != self._settings.seeds:
-            self._chain.seeds_changed(settings)
+            self._chain.set_seeds(settings)
         self._settings = settings
         log.info("settings_read", seeds=len(settings.seeds))
 
--- a/roselink/controller/chain_interface.py
+++ b/roselink/controller/chain_interface.py
@@ -85,7 +85,7 @@
     def handle(self, peer: Address, message: object, reply: ReplySender) -> bool:
         """Handle a record of the chain; False for any other."""
 
-    def seeds_changed(self, settings: ProcessSettings) -> None:
+    def set_seeds(self, settings: ProcessSettings) -> None:
         """The settings name other seeds: members that may be queried for the core's state."""
 
     @property
--- a/tests/controller/single_member_core.py
+++ b/tests/controller/single_member_core.py
@@ -48,7 +48,7 @@
     def handle(self, peer: Address, message: object, reply: Callable[[Any], None]) -> bool:
         return False
 
-    def seeds_changed(self, settings: ProcessSettings) -> None:
+    def set_seeds(self, settings: ProcessSettings) -> None:
         self.seeds = settings.seed_peers()
 
     def core_addresses(self) -> tuple[str, ...]:
--- a/tests/controller/test_app.py
+++ b/tests/controller/test_app.py
@@ -22,6 +22,7 @@
 from tests.controller.test_validation import document
 
 ROOT = Path(__file__).resolve().parents[2]
+BOUND_S = 30.0
 GATEWAY = Member("g-1", "10.1.0.1:7500", 1)
 
 
@@ -61,14 +62,17 @@
     def write(self) -> None:
         self.path.write_text(json.dumps(self.settings))
 
-    async def start(self, how: str = "succeeds", until: str = "core_started") -> None:
+    async def start(
+        self,
+        how: str = "succeeds",
+        until: str = "core_started",
+        program: tuple[str, ...] = (),
+    ) -> None:
         self.write()
+        stand_in = ("-m", "tests.controller.single_member_core", str(self.path), how)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "tests.controller.single_member_core",
-            str(self.path),
-            how,
+            *(program or stand_in),
             cwd=ROOT,
             env={"PATH": "/usr/bin", ENVIRONMENT_VARIABLE: str(self.path)},
             stderr=PIPE,
@@ -170,5 +174,37 @@
     play(work())
 
 
+def test_a_reload_has_the_real_chain_send_heartbeats_to_the_new_seeds(tmp_path: Path) -> None:
+    """With the stand-in of these tests alone, a method that the chain's driver did not have passed.
+
+    Seeds that were exchanged were never greeted, so machines that knew only them could not join.
+    """
+
+    async def work() -> None:
+        core = Core(tmp_path, ("127.0.0.1", 1))
+        core.settings["data_dir"] = str(tmp_path / "disk")
+        (tmp_path / "disk").mkdir()
+        greeted = asyncio.Event()
+
+        async def greet(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            greeted.set()
+            writer.close()
+
+        seed = await asyncio.start_server(greet, "127.0.41.2", core.peer)
+        await core.start(program=("-m", "roselink", "controller"))
+        assert core.process is not None
+        assert not greeted.is_set()
+        core.settings["seeds"] = ["127.0.41.2:1"]
+        core.write()
+        core.process.send_signal(signal.SIGHUP)
+        await core.logged("settings_read")
+        async with asyncio.timeout(BOUND_S):
+            await greeted.wait()
+        seed.close()
+        assert await core.end() == 0
+
+    play(work())
+
+
 def test_a_life_of_a_core_process(tmp_path: Path) -> None:
     play(a_life(tmp_path))
