Coordination: three guards go out by proof, three get a test; a broken invariant ends the process

With a history that goes wrong, as a test and a mutation: a promise in phase 2 (one ballot could propose two views), reads of the former view (a read waits for the old round's time-out), a newest document that goes back (it is sent again). By proof: ChainMember.on_ack of an epoch whose state has not left the member can't come (K3); it is a broken invariant now. A head's unsaved state keeps the epoch in which it was received (V1 asks for no more): one save less at a view change. Replies that outlive the view (A3) are as late ones. What a broken invariant did before: asyncio logged it, and a member whose tick raised never ticked again. Now core_failed is logged and the process ends; other faults of a callback are logged as callback_failed, and ticks go on.

--- a/roselink/controller/app.py
+++ b/roselink/controller/app.py
@@ -13,6 +13,7 @@
 import gc
 import os
 import signal
+import traceback
 from typing import TYPE_CHECKING
 
 from roselink.controller.startup_log import log
@@ -99,6 +100,7 @@
 
     def begin(self) -> None:
         """Start all components; signals are handled from here on."""
+        self._loop.set_exception_handler(self._callback_failed)
         self._loop.add_signal_handler(signal.SIGTERM, self.stop)
         self._loop.add_signal_handler(signal.SIGINT, self.stop)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -124,6 +126,19 @@
         log.error("core_failed", error=repr(self.failure))
         self._halt()
 
+    def _callback_failed(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        """End the process at a broken invariant; any other fault costs one callback only."""
+        from roselink.coordination.exceptions import BrokenInvariantError
+
+        error = context.get("exception")
+        if isinstance(error, BrokenInvariantError):
+            self.failure = error
+            log.error("core_failed", error=repr(error))
+            self._halt()
+            return
+        trace = traceback.format_exception(error) if isinstance(error, BaseException) else []
+        log.error("callback_failed", message=context["message"], exception="".join(trace))
+
     def _halt(self) -> None:
         if not self._halted:
             self._halted = True
--- a/roselink/controller/chain_driver.py
+++ b/roselink/controller/chain_driver.py
@@ -232,8 +232,9 @@
     def _tick(self) -> None:
         if self._member is None or not self._running:
             return
-        self._perform(self._member.tick(self._loop.time()))
+        # Before the work: a member whose ticks ended with one fault would be silent for ever.
         self._timer = self._loop.call_later(TICK_S, self._tick)
+        self._perform(self._member.tick(self._loop.time()))
 
     # --- the disk's worker thread
 
--- a/roselink/coordination/acceptor.py
+++ b/roselink/coordination/acceptor.py
@@ -7,7 +7,10 @@
     it rests on is on the disk. `Acceptor.version` counts changes, and `reply_gate` buffers each
     reply until its version is durable.
 A2. A ballot below the promised one is neither promised nor accepted.
-A3. An acceptor that has learned the decided view replies nothing about that instance any more.
+A3. An acceptor that has learned the decided view replies nothing new about that instance. A reply
+    that was buffered before may still leave once the newer state is durable: it was true when it
+    was made, and an acceptor that makes no further promise in the instance can't break it, so it
+    is as one that was delayed on its way.
 """
 
 from __future__ import annotations
--- a/roselink/coordination/chain.py
+++ b/roselink/coordination/chain.py
@@ -10,6 +10,12 @@
     ahead of the disk; only what is durable is forwarded, acknowledged or shown.
 K2. A member handles messages of its present epoch only, and only if its process is the one that the
     view names. Once it has entered a newer view nothing of the older epoch is acknowledged by it.
+K3. A member gets an `Ack` of an epoch only after it has put that epoch's initial state on its disk.
+
+  Proof. A successor acknowledges only while its chain is active, which begins with an `Ack` from
+  its own successor, or at the tail with the tail's save of the initial state. That state reached
+  the tail from member to member, each of which had saved it, this process among them: a process
+  enters an epoch once, and another process of the same machine does not participate in it.
 
 Messages may be lost, duplicated or reordered: each is handled in sequence only, and is sent again
 until the `Ack` that covers it.
@@ -20,7 +26,7 @@
 from dataclasses import dataclass, field
 
 from roselink.coordination.effects import Emit, Persist, Send, Store
-from roselink.coordination.exceptions import DriverContractError
+from roselink.coordination.exceptions import DriverContractError, UnreachableMessageError
 from roselink.coordination.state import EMPTY, apply_change
 from roselink.coordination.views import replica_of
 from roselink.protocol.chain import (
@@ -133,10 +139,8 @@
         self._predecessor = view.chain[index - 1] if index else None
         self._successor = view.chain[index + 1] if index + 1 < len(view.chain) else None
         if self._predecessor is None:
+            # What it has not saved yet keeps the epoch in which it took part and got it (V1).
             self.synced = True
-            self.applied_epoch = (
-                view.epoch if self.applied is not self.durable else self.applied_epoch
-            )
             self._save()
             self._advance(now)
 
@@ -175,9 +179,15 @@
         return sequence
 
     def on_ack(self, message: Ack) -> bool:
-        """Take an acknowledgement; whether it committed anything new."""
-        if not self._is_from(self._successor, message.sender, message.epoch) or not self.synced:
+        """Take an acknowledgement; whether it committed anything new.
+
+        Raises:
+            UnreachableMessageError: this member has not forwarded the epoch's state yet (K3).
+        """
+        if not self._is_from(self._successor, message.sender, message.epoch):
             return False
+        if not self._epoch_started:
+            raise UnreachableMessageError(Ack, "the epoch's state has not left this member")
         return self._commit(message.sequence)
 
     def on_persisted(self, now: float) -> bool:
--- a/roselink/coordination/exceptions.py
+++ b/roselink/coordination/exceptions.py
@@ -9,7 +9,26 @@
     """Base class of the library's exceptions."""
 
 
-class DriverContractError(CoordinationError, AssertionError):
+class BrokenInvariantError(CoordinationError, AssertionError):
+    """A state that cannot be, by the proofs of this package: the process must not go on in it."""
+
+
+class UnreachableMessageError(BrokenInvariantError):
+    """A message that no member can have sent in the state of this one.
+
+    Attributes:
+        message: the message's class.
+        invariant: what it contradicts.
+    """
+
+    def __init__(self, message: type[object], invariant: str) -> None:
+        """Name the message and the invariant that it contradicts."""
+        super().__init__(f"{message.__name__}: {invariant}")
+        self.message = message
+        self.invariant = invariant
+
+
+class DriverContractError(BrokenInvariantError):
     """A state machine was called when it may not be: a fault of the program that embeds it.
 
     Attributes:
--- a/roselink/coordination/member.py
+++ b/roselink/coordination/member.py
@@ -325,7 +325,6 @@
         """Enter a decided view if it is newer than the present one."""
         if self.acceptor.enter(view):
             self._is_fresh = False
-            self.reply_gate.drop()
             self._enter(now)
 
     def _enter(self, now: float) -> None:
--- a/roselink/coordination/reply_gate.py
+++ b/roselink/coordination/reply_gate.py
@@ -37,10 +37,6 @@
         if reply is not None:
             self._buffered.append((self.acceptor.version, Send(to, reply)))
 
-    def drop(self) -> None:
-        """Forget the buffered replies: the view that they are about is decided."""
-        self._buffered = []
-
     def request_save(self) -> None:
         """Have the acceptor state saved again though nothing changed, to try the disk."""
         self.acceptor.version += 1
--- a/tests/controller/single_member_core.py
+++ b/tests/controller/single_member_core.py
@@ -15,6 +15,7 @@
     Conflict,
     SubmitOutcome,
 )
+from roselink.coordination.exceptions import DriverContractError
 from roselink.model.settings import ProcessSettings, load_settings
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
     def __init__(
         self, settings: ProcessSettings, pool: PeerPool, loop: asyncio.AbstractEventLoop
     ) -> None:
+        self.loop = loop
         self.epoch, self.is_tail, self.forming = 1, True, False
         self.tail: Address | None = (settings.ip, settings.peer_port)
         self.taken: dict[bytes, int] = {}
@@ -41,6 +43,13 @@
     def start(self) -> None:
         if START == "fails":
             raise RuntimeError("no disk")
+        if START == "breaks":
+            self.loop.call_soon(self.fail, RuntimeError("one callback"))
+            self.loop.call_later(0.01, self.fail, DriverContractError("tick", "it is begun"))
+
+    @staticmethod
+    def fail(error: Exception) -> None:
+        raise error
 
     async def stop(self) -> None:
         pass
--- a/tests/controller/test_app.py
+++ b/tests/controller/test_app.py
@@ -164,6 +164,24 @@
     play(work())
 
 
+def test_a_broken_invariant_ends_the_process_and_another_fault_of_a_callback_does_not(
+    tmp_path: Path,
+) -> None:
+    """In a callback of the loop a broken invariant was logged, and the member went on in it."""
+
+    async def work() -> None:
+        core = Core(tmp_path, ("127.0.0.1", 1))
+        await core.start("breaks", until="callback_failed")
+        await core.logged("core_failed")
+        assert core.process is not None
+        assert core.process.stderr is not None
+        assert await core.process.wait() == 1
+        end = (await core.process.stderr.read()).decode()
+        assert "DriverContractError: tick: it is begun" in end
+
+    play(work())
+
+
 def test_a_process_that_waits_for_its_port_can_be_ended(tmp_path: Path) -> None:
     async def work() -> None:
         core = Core(tmp_path, ("127.0.0.1", 1))
--- a/tests/coordination/test_chain.py
+++ b/tests/coordination/test_chain.py
@@ -8,6 +8,7 @@
 
 from roselink.coordination.chain import ChainMember
 from roselink.coordination.effects import Effect, Persist, Send, Store
+from roselink.coordination.exceptions import BrokenInvariantError
 from roselink.coordination.state import EMPTY, apply_change, digest_of
 from roselink.protocol.chain import (
     Ack,
@@ -193,6 +194,29 @@
     assert harness.take_effects() == []
 
 
+def test_an_acknowledgement_before_the_state_has_been_forwarded_is_a_broken_invariant() -> None:
+    """K3 says that none can have been sent."""
+    harness = Harness(B)
+    for _ in range(2):
+        with pytest.raises(BrokenInvariantError):
+            harness.member.on_ack(Ack(C, 3, 1))
+        harness.member.on_sync(SYNC, 0.0)  # received, and not on the disk yet
+    assert not harness.member.active
+
+
+def test_a_head_forwards_after_one_save_what_it_had_not_saved_before() -> None:
+    harness = Harness(A)
+    harness.member.on_ack(Ack(B, 3, 1))
+    harness.member.append(SECOND, refused=False)
+    harness.take_effects()
+    harness.member.on_persist_failed()
+    harness.member.enter(replace(VIEW, epoch=4), 0.0, is_fresh=False)
+    newest = apply_change(STATE, SECOND, refused=False)
+    assert harness.take_effects() == [Persist(Store.STATE, encode(StoredState(3, newest)))]
+    assert harness.complete_save() == [("b", sync(A, 4, newest))]
+    assert harness.take_effects() == []
+
+
 def test_a_refused_save_is_retried_and_nothing_is_sent_before() -> None:
     harness = middle()
     harness.member.on_write(WRITE)
--- a/tests/coordination/test_pending_calls.py
+++ b/tests/coordination/test_pending_calls.py
@@ -14,6 +14,20 @@
 A, B, C = (Voter(name, 0) for name in "abc")
 
 
+def test_a_late_older_reply_does_not_have_the_newest_document_sent_again() -> None:
+    effects: list[Effect] = []
+    calls = PendingCalls(B, effects.append)
+    view = first_view("abc")
+    calls.read(1, view, 0.0)
+    calls.read(2, view, 0.0)
+    calls.on_read_reply(ReadReply(2, 1, 6, 7, b"six"))
+    calls.on_read_reply(ReadReply(1, 1, 4, 5, b"four"))
+    assert ReadDone(1, Confirmation(1, 4, b"four", 5)) in effects
+    effects.clear()
+    calls.read(3, view, 0.1)
+    assert [e.message for e in effects if isinstance(e, Send)] == [ReadRequest(B, 3, 6)]
+
+
 def test_a_reply_that_leaves_the_document_out_shows_the_one_of_its_own_sequence() -> None:
     """A read that knew an older version is not shown the newer document under the older number."""
     effects: list[Effect] = []
--- a/tests/coordination/test_proposal_round.py
+++ b/tests/coordination/test_proposal_round.py
@@ -55,6 +55,17 @@
     assert current.value is None
 
 
+def test_a_promise_that_comes_in_phase_2_changes_nothing() -> None:
+    """Else one ballot could propose two views: one acceptance each, and both would count as one."""
+    current = ProposalRound(VIEW, Ballot(9, "a", 5), ONE, 0.0)
+    current.on_promise(Promise(A, 2, current.ballot, None, None))
+    assert current.on_promise(Promise(B, 2, current.ballot, None, None))
+    assert current.on_accepted(Accepted(A, 2, current.ballot)) is None
+    assert not current.on_promise(Promise(C, 2, current.ballot, HIGH, TWO))
+    assert current.value == ONE
+    assert current.on_accepted(Accepted(B, 2, current.ballot)) == ONE
+
+
 @pytest.mark.parametrize("seed", range(300))
 def test_one_value_is_decided_in_any_order_of_messages(seed: int) -> None:
     draw = random.Random(seed)
--- a/tests/coordination/test_reads.py
+++ b/tests/coordination/test_reads.py
@@ -54,6 +54,19 @@
     assert rounds.reply(B, 2) == [2]
 
 
+def test_a_read_that_is_requested_again_in_a_new_view_begins_a_round_at_once() -> None:
+    """With the round of the former view still in flight it would wait for that round's time-out."""
+    rounds = Rounds()
+    rounds.request(1)
+    rounds.request(2)
+    assert rounds.requested_rounds() == [1, 1, 1]
+    rounds.reads.drop()
+    rounds.request(1)
+    assert rounds.requested_rounds() == [2, 2, 2]
+    assert rounds.reply(A, 2) == []
+    assert rounds.reply(C, 2) == [1]
+
+
 def test_a_round_without_a_majority_is_retried_and_a_new_view_drops_it() -> None:
     rounds = Rounds()
     rounds.request(1)
--- a/tests/mutations/coordination.py
+++ b/tests/mutations/coordination.py
@@ -97,7 +97,12 @@
             "len(self._accepted_by) >= majority(self.view)",
             "len(self._accepted_by) >= 1",
         ),
-        ("answers of other epochs count", " and reply.epoch == self.view.epoch + 1", ""),
+        ("replies of other epochs count", " and reply.epoch == self.view.epoch + 1", ""),
+        (
+            "a late promise chooses a second value",
+            "if not self._concerns(reply) or self.value is not None:",
+            "if not self._concerns(reply):",
+        ),
         (
             "strangers' answers count",
             "return same and reply.sender in self.view.voters",
@@ -149,6 +154,11 @@
             "message.epoch) or not self.synced:\n            return\n        if message.seq",
             "message.epoch):\n            return\n        if message.seq",
         ),
+        (
+            "an acknowledgement before the state is forwarded counts",
+            "        if not self._epoch_started:\n            raise",
+            "        if False:\n            raise",
+        ),
         (
             "lost writes are not sent again",
             "for write in self._unacknowledged:\n                if write.seq",
@@ -166,6 +176,16 @@
         ("a no confirms", "if not reply.is_newest or reply.sender", "if reply.sender"),
         ("answers of an older round confirm", "            or reply.round != self._round\n", ""),
         ("whoever is no voter confirms", " or reply.sender not in view.voters", ""),
+        (
+            "a round of the former view holds up the reads of the next",
+            "        self._in_flight = []\n        self._next = []\n        self._view = None\n",
+            "        self._view = None\n",
+        ),
+        (
+            "a round of the former view confirms",
+            "        self._in_flight = []\n        self._next = []\n        self._view = None\n",
+            "",
+        ),
         (
             "a read joins a round under way",
             "self._next.append(read)",
@@ -195,6 +215,11 @@
             "self._newest is None or self._newest.sequence != reply.sequence",
             "self._newest is None",
         ),
+        (
+            "a late reply makes the newest document go back",
+            "if self._newest is None or reply.sequence >= self._newest.sequence:",
+            "if True:",
+        ),
     ),
     *mutations_of(
         "coordination/state.py",
