--- a/tests/mutations/__main__.py
+++ b/tests/mutations/__main__.py
@@ -1,6 +1,7 @@
 """`python -m tests.mutations`: removes guards one at a time and names those that no test missed.
 
-`--drawn N --seed S` takes N of them.
+`--drawn N --seed S` takes N of them. `--conditions PACKAGE` takes every condition of a package
+instead, to find those that the tables lack.
 """
 
 from __future__ import annotations
@@ -13,18 +14,28 @@
 import defopt  # type: ignore[import-untyped]
 
 from tests.mutations import MUTATIONS
+from tests.mutations.conditions import conditions_of
 from tests.mutations.runner import run_tests
 
 
-def run(*, drawn: int | None = None, seed: int = 0, jobs: int = 4, only: str = "") -> int:
+def run(
+    *,
+    drawn: int | None = None,
+    seed: int = 0,
+    jobs: int = 4,
+    only: str = "",
+    conditions: str | None = None,
+) -> int:
     """Remove guards one at a time, and name those that no test missed.
 
     :param drawn: take only so many, drawn by the seed
     :param seed: of the draw
     :param jobs: how many at a time
     :param only: take those whose name or file has this text
+    :param conditions: take all conditions of this package in place of the tables
     """
-    chosen = [each for each in MUTATIONS if only in each.name or only in each.file]
+    listed = MUTATIONS if conditions is None else conditions_of(conditions)
+    chosen = [each for each in listed if only in each.name or only in each.file]
     if drawn is not None:
         chosen = random.Random(seed).sample(chosen, min(drawn, len(chosen)))
     began = time.monotonic()
--- /dev/null
+++ b/tests/mutations/conditions.py
@@ -0,0 +1,74 @@
+"""Every condition of a package, each with the edit that removes it.
+
+The tables of this folder hold the guards that someone thought of. This makes the rest: each operand
+of `and` and `or` left out, and each other `if` never taken. Nothing here has to be caught: most
+survivors are short cuts that change no result; the others want a test, a row in a table, or to go
+out.
+"""
+
+from __future__ import annotations
+
+import ast
+from typing import TYPE_CHECKING
+
+from tests.mutations.mutation import ROOT, Mutation
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# The tests of each package, the fast ones first: a run ends with the first failure.
+TESTS = {
+    "coordination": (
+        "tests/coordination",
+        "tests/simulation/test_scenarios.py",
+        "tests/simulation/test_model_checker.py",
+    ),
+    "controller": ("tests/controller", "tests/simulation/test_disk.py"),
+    "distribution": ("tests/distribution", "tests/controller/test_pull_server.py", "tests/router"),
+    "budgets": ("tests/budgets", "tests/router"),
+}
+
+
+def conditions_of(package: str) -> list[Mutation]:
+    """The conditions of one package of roselink, in the order of its files.
+
+    Raises:
+        KeyError: `TESTS` does not name the package.
+    """
+    tests = TESTS[package]
+    paths = sorted((ROOT / "roselink" / package).glob("*.py"))
+    return [
+        Mutation(f"{path.name}:{name}", f"{package}/{path.name}", text, instead, tests)
+        for path in paths
+        for text in [path.read_text(encoding="utf-8")]
+        for name, instead in _edits(text)
+    ]
+
+
+def _edits(text: str) -> Iterator[tuple[str, str]]:
+    """The line with what is left out, and the whole text without it."""
+    for node in ast.walk(ast.parse(text)):
+        if isinstance(node, ast.BoolOp):
+            for operand in node.values:
+                rest = [ast.unparse(each) for each in node.values if each is not operand]
+                joined = f" {'and' if isinstance(node.op, ast.And) else 'or'} ".join(
+                    f"({each})" for each in rest
+                )
+                yield _edit(text, node, f"({joined})", ast.unparse(operand))
+        elif isinstance(node, ast.If | ast.IfExp) and _is_simple(node.test):
+            yield _edit(text, node.test, "False", ast.unparse(node.test))
+
+
+def _is_simple(test: ast.expr) -> bool:
+    """Whether a condition has no operands, and isn't the one of imports for types."""
+    return not isinstance(test, ast.BoolOp) and ast.unparse(test) != "TYPE_CHECKING"
+
+
+def _edit(text: str, node: ast.expr, instead: str, left_out: str) -> tuple[str, str]:
+    lines = text.encode().splitlines(keepends=True)
+    assert node.end_lineno is not None
+    start = sum(map(len, lines[: node.lineno - 1])) + node.col_offset
+    end = sum(map(len, lines[: node.end_lineno - 1])) + (node.end_col_offset or 0)
+    whole = text.encode()
+    changed = whole[:start] + instead.encode() + whole[end:]
+    return f"{node.lineno} without {left_out}", changed.decode()
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.mutations import MUTATIONS, ROOT, Mutation
+from tests.mutations.conditions import TESTS, conditions_of
 from tests.mutations.routing import ROUTING
 from tests.mutations.runner import run_tests
 
@@ -43,6 +44,15 @@
     )
 
 
+@pytest.mark.parametrize("package", TESTS)
+def test_each_condition_can_be_left_out(package: str) -> None:
+    conditions = conditions_of(package)
+    assert conditions
+    for mutation in conditions:
+        compile(mutation.instead, mutation.file, "exec")
+        assert mutation.instead != mutation.guard
+
+
 def test_a_guard_that_has_moved_is_named(tmp_path: Path) -> None:
     (tmp_path / "roselink" / "routing").mkdir(parents=True)
     (tmp_path / "roselink" / "routing" / "classifier.py").write_text("nothing\n")
