Command line: disk inspect and disk recover, for a core that can't agree on a view any more

A core whose newest view lost all intact members, or its majority, waited for ever and had no way back. inspect shows what is on a stopped member's disk. recover makes one machine's disk from the newest state that is left, in a view and with a sequence beyond any that were; it refuses while a machine that may vote or hold something newer is neither given nor named as lost, where a later view is possible that no disk knows, and where the machines can start by themselves. The given disks are moved aside.

--- a/roselink/cli.py
+++ b/roselink/cli.py
@@ -1,4 +1,4 @@
-"""Commands for operators and developers: `check`, `status`, `lab` and `simulate`.
+"""Commands for operators and developers: `check`, `status`, `disk`, `lab` and `simulate`.
 
 Each returns the exit status: 0 for success, 1 if the fleet is unavailable or a run failed, 2 if the
 input is at fault.
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json as codec
+import secrets
 import sys
 from pathlib import Path
 
@@ -19,6 +20,8 @@
 EXIT_UNAVAILABLE = 1
 EXIT_FAULTS = 2
 MAX_MACHINES = 9
+# Below the largest integer of a record.
+INCARNATION_BITS = 61
 
 
 def check(file: Path) -> int:
@@ -61,6 +64,67 @@
     return 0 if fleet_status["confirmed"] else EXIT_UNAVAILABLE
 
 
+def inspect(*folders: Path) -> int:
+    """Show what is on the disks of stopped controllers: identity, view, state, damaged records.
+
+    :param folders: data folders
+    """
+    from roselink.controller.disk_inspection import describe, read_disk
+
+    usable = True
+    for folder in folders:
+        try:
+            contents = read_disk(str(folder))
+        except OSError as error:
+            return _report_faults([f"{folder}: cannot be read: {error.strerror}"])
+        sys.stdout.write("\n".join(describe(contents)) + "\n")
+        usable = usable and contents.is_usable
+    return 0 if usable else EXIT_UNAVAILABLE
+
+
+def recover(
+    *folders: Path,
+    into: Path,
+    address: str,
+    lost: list[str] = [],  # noqa: B006 - defopt reads the default, and nothing changes it
+    has_every_disk: bool = False,
+    write: bool = False,
+) -> int:
+    """Make the disk with which a stopped core begins anew, from the disks that are left.
+
+    Stop all controllers first. Without `--write` the plan is printed and nothing is changed.
+
+    :param folders: the data folders of all machines that are left
+    :param into: the new disk's folder, for the machine that is started first
+    :param address: that machine's peer address, as ip:port
+    :param lost: voters, as `inspect` shows them, whose disks will never come back
+    :param has_every_disk: no machine that ever ran is missing, but for the lost ones
+    :param write: carry the plan out; the given disks' records are moved aside
+    """
+    from roselink.controller import disk_recovery
+    from roselink.controller.disk_inspection import read_disk
+
+    try:
+        disks = [read_disk(str(folder)) for folder in folders]
+        plan = disk_recovery.plan_recovery(
+            disks,
+            address,
+            secrets.randbits(INCARNATION_BITS) + 1,
+            frozenset(lost),
+            has_every_disk=has_every_disk,
+        )
+        if isinstance(plan, disk_recovery.RecoveryRefused):
+            _report_faults(list(plan.reasons))
+            return EXIT_UNAVAILABLE
+        sys.stdout.write("\n".join(disk_recovery.describe_plan(plan, str(into))) + "\n")
+        if write:
+            disk_recovery.carry_out(plan, disks, str(into))
+            sys.stdout.write("written; start this machine first, then all others\n")
+    except OSError as error:
+        return _report_faults([f"{error.filename}: {error.strerror}"])
+    return 0
+
+
 def lab(
     *,
     routers: int = 3,
@@ -116,7 +180,16 @@
     return EXIT_FAULTS
 
 
+COMMANDS = {
+    "check": check,
+    "status": status,
+    "disk": {"inspect": inspect, "recover": recover},
+    "lab": lab,
+    "simulate": simulate,
+}
+
+
 def run_command(arguments: list[str]) -> int:
     """Run one of the commands above; return its exit status."""
-    result = defopt.run([check, status, lab, simulate], argv=arguments, short={})
+    result = defopt.run(COMMANDS, argv=arguments, short={})
     return int(result or 0)
--- /dev/null
+++ b/roselink/controller/disk_recovery.py
@@ -0,0 +1,257 @@
+"""A way back for a core that can't agree on a view any more: offline, from the disks that are left.
+
+A core stops for good when no majority of its newest view's voters is left, or none of that view's
+intact members (V5 in `coordination.views`). The disks that are left then may lack what was
+acknowledged, and only a person can know which machines will not come back. So nothing here is
+decided without a name: a recovery needs the disk of each machine that may vote, or have a newer
+state, or the word that this very machine is lost.
+
+What is made is the disk of one machine, in a view of an epoch that none had, with that machine as
+its only voter. It starts as any member does that comes back alone, and all others join it with
+empty disks. Two things fence the former core: the disks that were given are moved aside, so that
+nobody starts with them, and the new state's sequence is beyond any that gateways may have, so that
+they follow it.
+"""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from roselink.controller.disk_inspection import DiskContents, document_digest, name_of
+from roselink.controller.storage import Storage, record_number
+from roselink.coordination.effects import Store
+from roselink.coordination.views import majority, replica_of
+from roselink.protocol.chain import AcceptorState, ChainReplica, StoredState, View, Voter
+from roselink.protocol.records import encode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+# Writes that the lost members may have acknowledged and gateways may have taken: the recovered
+# state's sequence goes beyond them.
+SEQUENCE_GAP = 1_000_000
+# Views that the lost members may have agreed on: the recovered view's epoch goes beyond them.
+EPOCH_GAP = 1_000
+# No process has this session, so the first process that starts here proposes a view of its own.
+NO_SESSION = 1
+FENCED_FOLDER = "before-recovery"
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveryRefused:
+    """Why no recovery is made.
+
+    Attributes:
+        reasons: one line each, with the names of the machines that are concerned.
+    """
+
+    reasons: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveryPlan:
+    """The two records of the new disk.
+
+    Attributes:
+        source: the folder whose state is taken.
+        taken: that state as it was found.
+        acceptor: the new acceptor state.
+        state: the new state.
+        may_lack: the machines whose newer acknowledged state this one may lack.
+    """
+
+    source: str
+    taken: StoredState
+    acceptor: AcceptorState
+    state: StoredState
+    may_lack: tuple[str, ...]
+
+
+def plan_recovery(
+    disks: Sequence[DiskContents],
+    address: str,
+    incarnation: int,
+    lost: frozenset[str],
+    *,
+    has_every_disk: bool,
+) -> RecoveryPlan | RecoveryRefused:
+    """Plan the disk with which a core begins anew.
+
+    Args:
+        disks: the disks of all machines that are left.
+        address: the peer address of the machine that starts first.
+        incarnation: a new random number above 0.
+        lost: voters, as `name_of` prints them, whose disks will never come back.
+        has_every_disk: the operator's word that no machine that ever ran, but for the lost ones,
+            is missing among the disks; needed where a view that none of them knows is possible.
+    """
+    usable = [disk for disk in disks if disk.is_usable]
+    views = _newest_views(usable)
+    if not views:
+        return RecoveryRefused(("no disk has both records and a view: nothing to begin with",))
+    given = {disk.acceptor.voter for disk in usable if disk.acceptor is not None}
+    reasons = [
+        *_unreadable(disks),
+        *_contradictions(given, lost),
+        *_unaccounted(views, given, lost),
+    ]
+    if not reasons and _can_start_by_itself(usable, given):
+        reasons.append(
+            "not needed: a majority of the newest view and an intact member are here; start them"
+        )
+    if not reasons and not has_every_disk and not all(_hold_majority(v, given) for v in views):
+        reasons.append(
+            f"without a majority of epoch {views[0].epoch} a later view is possible that no disk"
+            " here knows: find the disk of every machine that ever ran, and say so"
+            " (--has-every-disk)"
+        )
+    if reasons:
+        return RecoveryRefused(tuple(reasons))
+    return _plan(usable, views[0], given, Voter(address, incarnation))
+
+
+def describe_plan(plan: RecoveryPlan, folder: str) -> list[str]:
+    """A plan, as lines for a person."""
+    taken = plan.taken
+    lines = [
+        f"takes      the state of {plan.source}: epoch {taken.epoch},"
+        f" sequence {taken.state.sequence}, generation {taken.state.generation},"
+        f" sha256 {document_digest(taken)}",
+        f"makes      {folder}: {name_of(plan.acceptor.voter)} as the only voter,"
+        f" epoch {plan.state.epoch}, sequence {plan.state.state.sequence}",
+    ]
+    if plan.may_lack:
+        lines.append(f"may lack   what was acknowledged by {', '.join(plan.may_lack)}")
+    return lines
+
+
+def carry_out(plan: RecoveryPlan, disks: Sequence[DiskContents], folder: str) -> None:
+    """Move the given disks' records aside, then write the new disk.
+
+    Args:
+        plan: the plan made from these disks.
+        disks: the disks of all machines that are left.
+        folder: the new disk's folder; it may be one of theirs.
+
+    Raises:
+        OSError: a disk failed; what was moved is in `before-recovery` beside it, and a new plan
+            can be made from there.
+    """
+    for disk in disks:
+        _fence(disk.folder)
+    storage = Storage(folder)
+    storage.load()
+    storage.save(Store.ACCEPTOR, record_number(Store.ACCEPTOR), encode(plan.acceptor))
+    storage.save(Store.STATE, record_number(Store.STATE), encode(plan.state))
+
+
+def _newest_views(usable: Sequence[DiskContents]) -> list[View]:
+    """The newest known view, and the one before if a disk knows it; the newest first.
+
+    One that was accepted counts: it may have been decided. If it was not, the one before holds.
+    """
+    acceptors = [disk.acceptor for disk in usable if disk.acceptor is not None]
+    known = [view for each in acceptors for view in (each.proposal, each.view) if view is not None]
+    epochs = sorted({view.epoch for view in known}, reverse=True)
+    return [view for epoch in epochs if epoch >= epochs[0] - 1 for view in _of(known, epoch)]
+
+
+def _of(views: Sequence[View], epoch: int) -> list[View]:
+    """The different views of an epoch: several while it is not decided."""
+    return list(dict.fromkeys(view for view in views if view.epoch == epoch))
+
+
+def _unreadable(disks: Iterable[DiskContents]) -> list[str]:
+    return [
+        f"{disk.folder}: not both of its records are intact; leave it out, and name it as lost"
+        for disk in disks
+        if not disk.is_usable
+    ]
+
+
+def _contradictions(given: Iterable[Voter], lost: frozenset[str]) -> list[str]:
+    return [
+        f"{name_of(voter)}: named as lost, but its disk is given"
+        for voter in given
+        if name_of(voter) in lost
+    ]
+
+
+def _unaccounted(views: Iterable[View], given: set[Voter], lost: frozenset[str]) -> list[str]:
+    """Why voters that are neither given nor named as lost have to be one of them."""
+    missing = [
+        (voter, view)
+        for view in views
+        for voter in view.voters
+        if voter not in given and name_of(voter) not in lost
+    ]
+    reasons = {}
+    for voter, view in reversed(missing):
+        holds = replica_of(view, voter) is not None
+        risk = "may have a newer acknowledged state" if holds else "may vote"
+        reasons[voter] = (
+            f"{name_of(voter)}: {risk} (epoch {view.epoch}); give its disk, or name it as lost"
+            f" (--lost {name_of(voter)})"
+        )
+    return [reasons[voter] for voter in sorted(reasons, key=name_of)]
+
+
+def _hold_majority(view: View, given: set[Voter]) -> bool:
+    return sum(voter in given for voter in view.voters) >= majority(view)
+
+
+def _can_start_by_itself(usable: Sequence[DiskContents], given: set[Voter]) -> bool:
+    """Whether the given machines agree on a next view without help."""
+    decided = [disk.acceptor.view for disk in usable if disk.acceptor and disk.acceptor.view]
+    if not decided:
+        return False
+    newest = max(decided, key=lambda view: view.epoch)
+    return _hold_majority(newest, given) and any(_is_intact(newest, disk) for disk in usable)
+
+
+def _is_intact(view: View, disk: DiskContents) -> bool:
+    """Whether the disk has all that was acknowledged up to this view (V1)."""
+    if disk.acceptor is None or disk.state is None:
+        return False
+    replica = replica_of(view, disk.acceptor.voter)
+    return replica is not None and disk.state.epoch >= replica.since
+
+
+def _plan(
+    usable: Sequence[DiskContents], newest: View, given: set[Voter], voter: Voter
+) -> RecoveryPlan:
+    source, taken = max(
+        ((disk, disk.state) for disk in usable if disk.state is not None),
+        key=lambda pair: (_is_intact(newest, pair[0]), pair[1].epoch, pair[1].state.sequence),
+    )
+    epoch = max(newest.epoch, taken.epoch) + EPOCH_GAP
+    view = View(epoch, (voter,), (ChainReplica(voter, epoch, NO_SESSION),))
+    sequence = taken.state.sequence + SEQUENCE_GAP
+    may_lack: tuple[str, ...] = ()
+    if not _is_intact(newest, source):
+        may_lack = tuple(name_of(link.voter) for link in newest.chain if link.voter not in given)
+    return RecoveryPlan(
+        source=source.folder,
+        taken=taken,
+        acceptor=AcceptorState(voter, view, None, None, None),
+        state=StoredState(epoch, replace(taken.state, sequence=sequence)),
+        may_lack=may_lack,
+    )
+
+
+def _fence(folder: str) -> None:
+    """Move a disk's records into a folder of their own, from which no member starts."""
+    aside = os.path.join(folder, FENCED_FOLDER)
+    os.makedirs(aside, exist_ok=True)
+    for name in os.listdir(folder):
+        path = os.path.join(folder, name)
+        if os.path.isfile(path):
+            os.replace(path, os.path.join(aside, name))
+    for synced in (aside, folder):
+        descriptor = os.open(synced, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
--- a/roselink/controller/storage.py
+++ b/roselink/controller/storage.py
@@ -32,6 +32,21 @@
 StoredRecord = AcceptorState | StoredState
 
 
+@dataclass(frozen=True, slots=True)
+class StoredGeneration:
+    """One generation of one record on the disk.
+
+    Attributes:
+        store: which record.
+        generation: its number.
+        record: its content; None if it is torn or its checksum is wrong.
+    """
+
+    store: Store
+    generation: int
+    record: StoredRecord | None
+
+
 class Database(Protocol):
     """One open database of `dbm.dumb`."""
 
@@ -117,6 +132,14 @@
             return acceptor, state
         return None, None
 
+    def generations(self) -> list[StoredGeneration]:
+        """Every generation of both records, the oldest first of each; nothing is changed."""
+        return [
+            StoredGeneration(store, generation, self._read(store, generation))
+            for store in Store
+            for generation in self._generations(store)
+        ]
+
     def save(self, store: Store, record: int, payload: bytes) -> None:
         """Make a record durable: once this returns it survives a power failure.
 
--- a/roselink/coordination/state.py
+++ b/roselink/coordination/state.py
@@ -106,6 +106,11 @@
     return None
 
 
+def history_length(state: ConfigurationState) -> int:
+    """How many changes the history has."""
+    return len(state.history) // _ENTRY.size
+
+
 def apply_change(
     state: ConfigurationState, change: ConfigurationChange, *, refused: bool
 ) -> ConfigurationState:
--- a/tests/mutations/controller.py
+++ b/tests/mutations/controller.py
@@ -140,4 +140,34 @@
             "",
         ),
     ),
+    *mutations_of(
+        "controller/disk_recovery.py",
+        ("tests/controller/test_disk_recovery.py",),
+        (
+            "a machine that may have a newer state is not asked for",
+            "        *_unaccounted(views, given, lost),\n",
+            "",
+        ),
+        (
+            "a core that can start is begun anew",
+            "if not reasons and _can_start_by_itself(usable, given):",
+            "if False:",
+        ),
+        (
+            "a later view is not thought of",
+            "if not reasons and not has_every_disk and",
+            "if False and",
+        ),
+        (
+            "gateways keep what the lost members had told them",
+            "taken.state.sequence + SEQUENCE_GAP",
+            "taken.state.sequence",
+        ),
+        ("a member starts with the former disk", "        _fence(disk.folder)\n", "        pass\n"),
+        (
+            "a proposal that may have been decided is left out",
+            "for view in (each.proposal, each.view) if",
+            "for view in (each.view,) if",
+        ),
+    ),
 )
