--- a/tests/controller/test_disk_recovery.py
+++ b/tests/controller/test_disk_recovery.py
@@ -123,9 +123,9 @@
             id="no majority",
         ),
         pytest.param(
-            (disk(C, SIX, proposal=SEVEN), disk(B, SIX)),
-            "",
-            ["a: may have a newer acknowledged state"],
+            (disk(C, SIX, proposal=view(7, "acd", a=1, d=7)), disk(B, SIX)),
+            "a",
+            ["d: may have a newer acknowledged state (epoch 7)"],
             id="a proposal that may have been decided",
         ),
         pytest.param(
