Budgets: a fencing token that was refused is not used again, by requesters and owners

A requester asked again with the refused token each 30 ms until its next roster came; an owner that had seen a higher token went on deciding under its own for whoever still had that. Now a gateway notes the highest token that anybody has used: below it nothing is asked or decided; what waits does so for the next roster, 0.2 s at most, and is then decided locally as before. The row STALE_TOKEN of test_when_rosters_differ_it_pulls_and_retries_soon went into a test of its own, which wants the new token in the second request.

--- a/roselink/budgets/budget_service.py
+++ b/roselink/budgets/budget_service.py
@@ -175,7 +175,7 @@
         status = self._check_request(key, request.fencing_token, now)
         if status is ReplyStatus.DECIDED:
             return self._quota_owner.decide(request, now)
-        return QuotaReply(status, self._ownership.fencing_token)
+        return QuotaReply(status, self._ownership.newest_token)
 
     def _decide_retry(self, request: RetryBudgetRequest) -> RetryBudgetReply:
         now = self._clock()
@@ -183,7 +183,7 @@
         status = self._check_request(key, request.fencing_token, now)
         if status is ReplyStatus.DECIDED:
             return self._retry_owner.decide(request, now)
-        return RetryBudgetReply(status, self._ownership.fencing_token, allowed=False)
+        return RetryBudgetReply(status, self._ownership.newest_token, allowed=False)
 
     def _check_request(self, key: str, fencing_token: int, now: float) -> ReplyStatus:
         status = self._ownership.check_request(key, fencing_token, now)
--- a/roselink/budgets/ownership.py
+++ b/roselink/budgets/ownership.py
@@ -48,6 +48,8 @@
         """Start without a roster. `own` is this process."""
         self.own = own
         self.fencing_token = 0
+        # The highest token that any gateway has used; a roster with it is in force.
+        self.newest_token = 0
         self.roster: tuple[Member, ...] = ()
         self._confirmed_at = float("-inf")
         self._owners: dict[str, Member | None] = {}
@@ -62,10 +64,20 @@
         if fencing_token <= self.fencing_token:
             return False
         self.fencing_token = fencing_token
+        self.note_token(fencing_token)
         self.roster = roster
         self._owners.clear()
         return True
 
+    def note_token(self, fencing_token: int) -> None:
+        """Note a token that another gateway uses; under a lower one nothing is done any more."""
+        self.newest_token = max(self.newest_token, fencing_token)
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether another gateway has used a higher token than that of the roster in force here."""
+        return self.fencing_token < self.newest_token
+
     def confirm(self, at: float, now: float) -> float:
         """Record that the view in force was the newest one after `at`.
 
@@ -95,8 +107,9 @@
 
     def check_request(self, key: str, fencing_token: int, now: float) -> ReplyStatus:
         """Return `DECIDED` if this gateway may decide a request, else the reason why it may not."""
-        if fencing_token < self.fencing_token:
+        self.note_token(fencing_token)
+        if fencing_token < self.newest_token:
             return ReplyStatus.STALE_TOKEN
-        if fencing_token > self.fencing_token or not self.is_confirmed(now):
+        if self.is_superseded or not self.is_confirmed(now):
             return ReplyStatus.NOT_READY
         return ReplyStatus.DECIDED if self.owns(key) else ReplyStatus.NOT_OWNER
--- a/roselink/budgets/quota_client.py
+++ b/roselink/budgets/quota_client.py
@@ -229,6 +229,8 @@
         elif reply.status is ReplyStatus.REPORT_WANTED and state.reported_token:
             state.reported_token = 0
         else:
+            if reply.status is ReplyStatus.STALE_TOKEN:
+                self._ownership.note_token(reply.fencing_token)
             state.not_before = now + RETRY_INTERVAL_S
             effects.append(RefreshRoster())
         return effects + self._send_if_due(tenant, state, now)
@@ -271,6 +273,10 @@
             return []
         if not state.pending and (not _is_in_use(state, now) or now < _next_keep_alive(state)):
             return []
+        if self._ownership.is_superseded:
+            # A token that was refused is not used again: what waits does so for the next roster.
+            state.not_before = now + RETRY_INTERVAL_S
+            return []
         found = self._ownership.find(KEY_PREFIX + tenant)
         if found is None:
             state.not_before = now + PROBE_INTERVAL_S
--- a/roselink/budgets/retry_budget.py
+++ b/roselink/budgets/retry_budget.py
@@ -124,7 +124,8 @@
     def request(self, number: int, service: str, now: float) -> list[RetryBudgetEffect]:
         """Request one retry to a service; `number` is the caller's and unique."""
         found = self._ownership.find(KEY_PREFIX + service)
-        if self._slack < 1 or found is None or now < self._refused_until.get(service, 0.0):
+        refused = now < self._refused_until.get(service, 0.0)
+        if self._slack < 1 or found is None or refused or self._ownership.is_superseded:
             return [RetryBudgetDecided(number, allowed=False)]
         self._in_flight[number] = service
         request = RetryBudgetRequest(service, found.fencing_token)
@@ -141,6 +142,8 @@
             self._refused_until[service] = now + REFUSAL_VALID_S
             return [RetryBudgetDecided(number, allowed=False)]
         if reply.status is not ReplyStatus.DECIDED:
+            if reply.status is ReplyStatus.STALE_TOKEN:
+                self._ownership.note_token(reply.fencing_token)
             return [RefreshRoster(), RetryBudgetDecided(number, allowed=False)]
         if not reply.allowed:
             self._refused_until[service] = now + reply.retry_after_s
--- a/roselink/protocol/budgets.py
+++ b/roselink/protocol/budgets.py
@@ -84,7 +84,7 @@
     first refused amount may be requested again. `usage_fraction`: the requester's fraction of
     `recent_usage` (0 to 1), which is what all live gateways admitted of the tenant in the last
     window, in tokens. `term` and `level` are the bucket's, after these decisions. `fencing_token`
-    is the owner's.
+    is the newest that the owner knows.
     """
 
     status: ReplyStatus
--- a/tests/budgets/test_ownership.py
+++ b/tests/budgets/test_ownership.py
@@ -85,6 +85,19 @@
     assert view.check_request(key_of(ROSTER[owner]), token, at) is status
 
 
+def test_an_owner_that_has_seen_a_higher_token_decides_nothing_under_its_own() -> None:
+    """Its own roster is not the newest, so that another gateway may own the key already."""
+    view = OwnershipView(ROSTER[0])
+    view.update(5, ROSTER)
+    view.confirm(10.0, 10.05)
+    key = key_of(ROSTER[0])
+    assert view.check_request(key, 6, 10.1) is ReplyStatus.NOT_READY
+    assert view.check_request(key, 5, 10.1) is ReplyStatus.STALE_TOKEN
+    assert (view.fencing_token, view.newest_token, view.is_superseded) == (5, 6, True)
+    view.update(6, ROSTER)
+    assert view.check_request(key, 6, 10.1) is ReplyStatus.DECIDED
+
+
 def test_a_member_that_never_pulled_owns_nothing_yet() -> None:
     view = OwnershipView(ROSTER[0])
     view.update(5, ROSTER)
--- a/tests/budgets/test_quota_client.py
+++ b/tests/budgets/test_quota_client.py
@@ -116,9 +116,35 @@
     assert sent_request.last_level.age_ms in (96, 97)
 
 
-@pytest.mark.parametrize(
-    "status", [ReplyStatus.STALE_TOKEN, ReplyStatus.NOT_READY, ReplyStatus.NOT_OWNER]
-)
+def test_a_token_that_was_refused_is_not_used_again() -> None:
+    """NEWS-24, duty: who was refused by a higher token does nothing more with its own."""
+    client, ownership = connected_client()
+    sent_request = sent(client.admit(2, "t", 5.0, 10.1))
+    refused = QuotaReply(ReplyStatus.STALE_TOKEN, 6)
+    assert client.handle_reply(sent_request.call, refused, 10.102) == [RefreshRoster()]
+    assert client.next_wake_at(10.102) == pytest.approx(10.102 + module.RETRY_INTERVAL_S)
+    assert client.wake(10.14) == client.admit(3, "t", 5.0, 10.15) == []
+    ownership.update(6, (OTHER,))
+    again = sent(client.wake(10.18))
+    assert (again.request.fencing_token, again.request.amounts) == (6, (5.0, 5.0))
+    reply = make_reply((True, True))
+    assert decided(client.handle_reply(again.call, reply, 10.182)) == {2: True, 3: True}
+
+
+def test_what_waits_for_a_newer_roster_is_decided_locally_in_time() -> None:
+    client, _ = connected_client()
+    sent_request = sent(client.admit(2, "t", 5.0, 10.1))
+    client.handle_reply(sent_request.call, QuotaReply(ReplyStatus.STALE_TOKEN, 6), 10.102)
+    now = 10.102
+    effects: list[Effect] = []
+    while not effects:
+        now = client.next_wake_at(now)
+        effects = client.wake(now)
+    assert decided(effects) == {2: True}
+    assert now == pytest.approx(10.1 + module.MAX_WAIT_S)
+
+
+@pytest.mark.parametrize("status", [ReplyStatus.NOT_READY, ReplyStatus.NOT_OWNER])
 def test_when_rosters_differ_it_pulls_and_retries_soon(status: ReplyStatus) -> None:
     client, _ = connected_client()
     sent_request = sent(client.admit(2, "t", 5.0, 10.1))
--- a/tests/budgets/test_retry_budget.py
+++ b/tests/budgets/test_retry_budget.py
@@ -102,6 +102,19 @@
     assert client.handle_reply(1, outcome, 10.01) == []
 
 
+def test_a_token_that_was_refused_is_not_used_again() -> None:
+    ownership = OwnershipView(OWN)
+    ownership.update(5, (OTHER,))
+    client = RetryBudgetClient(ownership, 52.0)
+    client.request(1, "s", 10.0)
+    client.handle_reply(1, RetryBudgetReply(ReplyStatus.STALE_TOKEN, 7, allowed=False), 10.0)
+    assert client.request(2, "s", 11.0) == [RetryBudgetDecided(2, allowed=False)]
+    ownership.update(6, (OTHER,))
+    assert client.request(3, "other", 11.0) == [RetryBudgetDecided(3, allowed=False)]
+    ownership.update(7, (OTHER,))
+    assert isinstance(client.request(4, "s", 11.0)[0], SendRetryBudgetRequest)
+
+
 def test_a_refusal_is_valid_for_a_moment() -> None:
     client = retry_client()
     client.request(1, "s", 10.0)
--- a/tests/mutations/budgets.py
+++ b/tests/mutations/budgets.py
@@ -12,10 +12,20 @@
         BUDGETS,
         (
             "a request under a stale fencing token is served",
-            "        if fencing_token < self.fencing_token:\n"
+            "        if fencing_token < self.newest_token:\n"
             "            return ReplyStatus.STALE_TOKEN\n",
             "",
         ),
+        (
+            "an owner forgets that a higher token is in use",
+            "        self.note_token(fencing_token)\n        if fencing_token < self.newest_token:",
+            "        if fencing_token < self.fencing_token:",
+        ),
+        (
+            "an owner serves under a token that its roster does not have",
+            "if self.is_superseded or not self.is_confirmed(now):",
+            "if not self.is_confirmed(now):",
+        ),
         ("an owner that is not confirmed serves", " or not self.is_confirmed(now)", ""),
         (
             "whoever receives a request is the owner",
@@ -69,4 +79,22 @@
             "            pass\n",
         ),
     ),
+    *mutations_of(
+        "budgets/quota_client.py",
+        BUDGETS,
+        (
+            "a token that an owner refused is used again",
+            "        if self._ownership.is_superseded:\n",
+            "        if False:\n",
+        ),
+    ),
+    *mutations_of(
+        "budgets/retry_budget.py",
+        BUDGETS,
+        (
+            "a token that an owner of retries refused is used again",
+            " or refused or self._ownership.is_superseded:",
+            " or refused:",
+        ),
+    ),
 )
