Coordination: a background scrub reads each member's records back and writes bad ones anew

Cause: a record on a core member's disk was checked when a process started and never again. One byte of a running controller's state file flipped: nothing said so, and after SIGKILL it came back as a new voter without a line in the log. The same at t + 1 members before a loss of power takes what was acknowledged. A damaged one is written anew from memory and counted (disk_record_damaged, disk_untrusted from the second on); a disk that can't be read has to take a save before it is healthy. A start names records that it could not use. status shows the last read. Left: comparing digests along the chain needs a record that older processes don't know.

--- a/roselink/controller/api.py
+++ b/roselink/controller/api.py
@@ -281,6 +281,7 @@
                     "hosts": versions.hosts,
                     "roster": versions.roster,
                 },
+                "disk": asdict(chain.disk_status()),
                 "gateways": [_lag_as_json(lag, sequence) for lag in self._published.lags()],
             },
         )
--- a/roselink/controller/chain_driver.py
+++ b/roselink/controller/chain_driver.py
@@ -10,6 +10,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from roselink.controller.chain_interface import DiskStatus
 from roselink.controller.exceptions import DataDirMissingError
 from roselink.controller.startup_log import log
 from roselink.controller.storage import Storage, record_number
@@ -19,10 +20,13 @@
     OutcomeUnknown,
     Persist,
     ReadDone,
+    RecordDamaged,
     Send,
     Store,
     SubmitDone,
     SubmitOutcome,
+    VerificationOutcome,
+    VerifyRecord,
     ViewChanged,
 )
 from roselink.coordination.member import TICK_S, Member, Start
@@ -36,6 +40,8 @@
 
 LEAVE_TIMEOUT_S = 1.0
 LOAD_RETRY_INTERVAL_S = 0.2
+# A disk that damages so many records in the life of one process should be replaced.
+UNTRUSTED_AFTER_TIMES = 2
 _LEAVE_CHECK_INTERVAL_S = 0.02
 # Random, so that no two starts have the same; below the largest integer of a record.
 _SESSION_BITS = 61
@@ -199,26 +205,45 @@
         """Whether the disk took the last saves in time."""
         return self._member is not None and self._member.disk_is_healthy
 
+    def disk_status(self) -> DiskStatus:
+        """The disk's health, and what the scrub has found on it."""
+        if self._member is None:
+            return DiskStatus(healthy=False, checks=0, damaged=0, checked_s=None)
+        scrubber = self._member.scrubber
+        checked_s = None
+        if scrubber.checked_at is not None:
+            checked_s = self._loop.time() - scrubber.checked_at
+        return DiskStatus(self.disk_ok, scrubber.checks, scrubber.damaged, checked_s)
+
     # --- effects
 
     def _perform(self, effects: list[Effect]) -> None:
         for effect in effects:
-            if isinstance(effect, Send):
-                self._pool.notify(_address(effect.to), effect.message)
-            elif isinstance(effect, Persist):
+            self._perform_one(effect)
+
+    def _perform_one(self, effect: Effect) -> None:
+        match effect:
+            case Send(to, message):
+                self._pool.notify(_address(to), message)
+            case Persist():
                 self._save(effect)
-            elif isinstance(effect, SubmitDone):
-                submit_done = self._submits.pop(effect.number, None)
-                if submit_done is not None:
-                    submit_done(effect.outcome)
-            elif isinstance(effect, ReadDone):
-                read_done = self._reads.pop(effect.number, None)
-                if read_done is not None:
-                    read_done(effect.confirmation)
-            elif isinstance(effect, ViewChanged):
-                self._log_view(effect.view)
-                for watcher in self._watchers:
-                    watcher()
+            case VerifyRecord(store):
+                self._verify(store)
+            case RecordDamaged():
+                self._log_damage(effect)
+            case SubmitDone(number, outcome):
+                if (submit_done := self._submits.pop(number, None)) is not None:
+                    submit_done(outcome)
+            case ReadDone(number, confirmation):
+                if (read_done := self._reads.pop(number, None)) is not None:
+                    read_done(confirmation)
+            case ViewChanged(view):
+                self._view_changed(view)
+
+    def _view_changed(self, view: View) -> None:
+        self._log_view(view)
+        for watcher in self._watchers:
+            watcher()
 
     def _log_view(self, view: View) -> None:
         """Log once a view that it is agreed, and at its tail that its chain is active."""
@@ -265,8 +290,15 @@
             log.warning("disk_read_failed", error=str(error))
             self._loop.call_later(LOAD_RETRY_INTERVAL_S, self._load)
             return
+        self._log_load(loaded)
         self._loaded(loaded)
 
+    def _log_load(self, loaded: LoadedRecords) -> None:
+        for store, generation in self._storage.damaged:
+            log.warning("disk_record_unusable", record=store.value, generation=generation)
+        if self._storage.damaged and loaded == (None, None):
+            log.error("disk_counts_as_lost")
+
     def _loaded(self, loaded: LoadedRecords) -> None:
         settings = self._settings
         start = Start(
@@ -305,6 +337,22 @@
         else:
             self._perform(self._member.persist_failed(store, now))
 
+    def _verify(self, store: Store) -> None:
+        def job() -> None:
+            outcome = self._storage.verify(store)
+            self._call_in_loop(partial(self._verified, store, outcome))
+
+        self._queue_job(job)
+
+    def _verified(self, store: Store, outcome: VerificationOutcome) -> None:
+        if self._member is not None and self._running:
+            self._perform(self._member.verified(store, outcome, self._loop.time()))
+
+    def _log_damage(self, damage: RecordDamaged) -> None:
+        log.warning("disk_record_damaged", record=damage.store.value, times=damage.times)
+        if damage.times >= UNTRUSTED_AFTER_TIMES:
+            log.error("disk_untrusted", times=damage.times)
+
 
 def _seeds(settings: ProcessSettings) -> tuple[str, ...]:
     return tuple(f"{host}:{port}" for host, port in settings.seed_peers())
--- a/roselink/controller/chain_interface.py
+++ b/roselink/controller/chain_interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from roselink.coordination.effects import (
@@ -31,6 +32,7 @@
     "ConfigurationChange",
     "Confirmation",
     "Conflict",
+    "DiskStatus",
     "OutcomeUnknown",
     "ReplicatedChain",
     "RunnableChain",
@@ -39,6 +41,23 @@
 ]
 
 
+@dataclass(frozen=True, slots=True)
+class DiskStatus:
+    """This member's disk.
+
+    Attributes:
+        healthy: whether it took the last saves, in time.
+        checks: how many records the scrub has read back.
+        damaged: how many of them were damaged, and written anew.
+        checked_s: the time since the last read in seconds; None before the first.
+    """
+
+    healthy: bool
+    checks: int
+    damaged: int
+    checked_s: float | None
+
+
 class ReplicatedChain(Protocol):
     """The replicated chain as the rest of a core process sees it."""
 
@@ -69,6 +88,9 @@
         `done` gets None when nothing could be confirmed.
         """
 
+    def disk_status(self) -> DiskStatus:
+        """The disk's health, and what the scrub has found on it."""
+
     def on_view(self, callback: Callable[[], None]) -> None:
         """Have `callback` called after each change of the active view."""
 
--- a/roselink/controller/storage.py
+++ b/roselink/controller/storage.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from roselink.coordination.effects import Store
+from roselink.coordination.effects import Store, VerificationOutcome
 from roselink.protocol.chain import AcceptorState, StoredState
 from roselink.protocol.exceptions import RecordError
 from roselink.protocol.records import decode
@@ -117,11 +117,15 @@
     Attributes:
         folder: the folder, created by `load`.
         files: the file system.
+        damaged: the generations that `load` found torn or with a wrong checksum.
     """
 
     folder: str
     files: FileSystem = field(default_factory=LocalFiles)
+    damaged: list[tuple[Store, int]] = field(default_factory=list)
+    # The highest generation that was begun, and the one that is durable.
     _newest: dict[Store, int] = field(default_factory=dict)
+    _durable: dict[Store, int] = field(default_factory=dict)
 
     def load(self) -> tuple[AcceptorState | None, StoredState | None]:
         """Load both records; both are None unless both are intact."""
@@ -156,10 +160,20 @@
         except OSError:
             self._remove(base)
             raise
+        self._durable[store] = generation
         for older in self._generations(store):
             if older < generation:
                 self._remove(self._base(store, older))
 
+    def verify(self, store: Store) -> VerificationOutcome:
+        """Read the durable generation of a record back, and check it."""
+        try:
+            payload = self._payload(store, self._durable.get(store, 0))
+        except OSError:
+            return VerificationOutcome.UNREADABLE
+        intact = payload is not None
+        return VerificationOutcome.INTACT if intact else VerificationOutcome.DAMAGED
+
     def _write(self, base: str, generation: int, record: int, payload: bytes) -> None:
         header = _HEADER.pack(generation, record, _checksum(generation, record, payload))
         self._create_database(base, header + payload)
@@ -182,12 +196,29 @@
         for generation in sorted(generations, reverse=True):
             record = self._read(store, generation)
             if record is not None:
+                self._durable[store] = generation
                 return record
+            self.damaged.append((store, generation))
         return None
 
     def _read(self, store: Store, generation: int) -> StoredRecord | None:
         """The record of one generation, or None when it isn't intact.
 
+        Raises:
+            OSError: the disk failed, and nothing is known of the record.
+        """
+        found = self._payload(store, generation)
+        if found is None:
+            return None
+        try:
+            decoded: StoredRecord = decode(*found)
+        except (ValueError, TypeError, struct.error, RecordError):
+            return None
+        return decoded
+
+    def _payload(self, store: Store, generation: int) -> tuple[int, bytes] | None:
+        """The record number and the bytes of one generation; None when it isn't intact.
+
         Raises:
             OSError: the disk failed, and nothing is known of the record.
         """
@@ -198,21 +229,10 @@
             finally:
                 database.close()
             _, record, checksum = _HEADER.unpack_from(value)
-            payload = value[_HEADER.size :]
-            if checksum != _checksum(generation, record, payload):
-                return None
-            decoded: StoredRecord = decode(record, payload)
-        except (
-            FileNotFoundError,
-            KeyError,
-            ValueError,
-            SyntaxError,
-            TypeError,
-            struct.error,
-            RecordError,
-        ):
+        except (FileNotFoundError, KeyError, ValueError, SyntaxError, TypeError, struct.error):
             return None
-        return decoded
+        payload = value[_HEADER.size :]
+        return (record, payload) if checksum == _checksum(generation, record, payload) else None
 
     def _generations(self, store: Store) -> list[int]:
         """All generations that have any file, intact or not."""
--- a/roselink/coordination/chain.py
+++ b/roselink/coordination/chain.py
@@ -212,6 +212,16 @@
         """Save what a refusing disk did not take."""
         self._save()
 
+    def save_again(self) -> None:
+        """Save the durable state once more: the copy on the disk is damaged.
+
+        A save that is in flight already, or a newer state's, takes its place as well.
+        """
+        self._save()
+        if self._saving is None:
+            self._saving = StoredState(self.durable_epoch, self.durable)
+            self.emit(Persist(Store.STATE, encode(self._saving)))
+
     def resend(self, now: float) -> None:
         """Send again what has had no acknowledgement for its retry interval."""
         if self._successor is None or not self.participating or not self._epoch_started:
--- a/roselink/coordination/disk_health.py
+++ b/roselink/coordination/disk_health.py
@@ -62,6 +62,10 @@
         elif save.within(RECOVERED_WITHIN_S, now):
             self.healthy = True
 
+    def read_failed(self) -> None:
+        """The disk could not read a record: it has to take a save before it counts as healthy."""
+        self.healthy = False
+
     def check(self, now: float) -> bool:
         """Whether the disk is healthy now."""
         if self._saves and not self._saves[0].within(STUCK_TIMEOUT_S, now):
--- a/roselink/coordination/effects.py
+++ b/roselink/coordination/effects.py
@@ -86,6 +86,37 @@
     payload: bytes
 
 
+class VerificationOutcome(Enum):
+    """What a read of a record found."""
+
+    INTACT = 1
+    # Torn, or its checksum is wrong.
+    DAMAGED = 2
+    # The disk failed, and nothing is known of the record.
+    UNREADABLE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class VerifyRecord:
+    """Read the newest durable generation of a record, and check it.
+
+    `verified` with this store must follow; saves that were requested before it come first.
+    """
+
+    store: Store
+
+
+@dataclass(frozen=True, slots=True)
+class RecordDamaged:
+    """A record was found damaged, and is written anew.
+
+    `times`: how many were found so far by this process.
+    """
+
+    store: Store
+    times: int
+
+
 @dataclass(frozen=True, slots=True)
 class SubmitDone:
     """The end of the submitted change with this number."""
@@ -109,5 +140,5 @@
     view: View
 
 
-Effect = Send | Persist | SubmitDone | ReadDone | ViewChanged
+Effect = Send | Persist | VerifyRecord | RecordDamaged | SubmitDone | ReadDone | ViewChanged
 Emit = Callable[[Effect], None]
--- a/roselink/coordination/member.py
+++ b/roselink/coordination/member.py
@@ -31,7 +31,14 @@
 from roselink.coordination.acceptor import Acceptor
 from roselink.coordination.chain import ChainMember
 from roselink.coordination.disk_health import DiskHealth
-from roselink.coordination.effects import Effect, Persist, Send, Store, ViewChanged
+from roselink.coordination.effects import (
+    Effect,
+    Persist,
+    Send,
+    Store,
+    VerificationOutcome,
+    ViewChanged,
+)
 from roselink.coordination.exceptions import DriverContractError
 from roselink.coordination.heartbeats import HeartbeatSender
 from roselink.coordination.messages import MessageHandler
@@ -40,6 +47,7 @@
 from roselink.coordination.proposer import Proposer
 from roselink.coordination.reads import ReadRounds
 from roselink.coordination.reply_gate import ReplyGate
+from roselink.coordination.scrub import Scrubber
 from roselink.coordination.sequencer import ChangeSequencer
 from roselink.coordination.state import EMPTY
 from roselink.coordination.views import (
@@ -134,6 +142,7 @@
         self.reads = ReadRounds(voter, self.emit)
         self.sequencer = ChangeSequencer(self.chain, self.emit)
         self.pending_calls = PendingCalls(voter, self.emit)
+        self.scrubber = Scrubber(start.session, self.emit)
         self._messages = self._message_handler()
         self._last_number = start.session
         self._announced = (0, False)
@@ -227,6 +236,7 @@
             if self.view is not None and self.chain.is_tail:
                 self.reads.proceed(self.view, now)
             self._propose(now)
+            self._scrub(now)
         return self._flush(now)
 
     def submit(self, change: ConfigurationChange, now: float) -> tuple[int, list[Effect]]:
@@ -284,6 +294,15 @@
             self.chain.on_persist_failed()
         return self._flush(now)
 
+    def verified(self, store: Store, outcome: VerificationOutcome, now: float) -> list[Effect]:
+        """The `VerifyRecord` of that store has ended."""
+        self.scrubber.on_verified(store, outcome, now)
+        if outcome is VerificationOutcome.UNREADABLE:
+            self.disk.read_failed()
+        elif outcome is VerificationOutcome.DAMAGED:
+            self._save_again(store)
+        return self._flush(now)
+
     def collect_effects(self, now: float) -> list[Effect]:
         """What a call to one of this member's parts has caused."""
         return self._flush(now)
@@ -316,6 +335,24 @@
         self.chain.retry_save()
         self.reply_gate.request_save()
 
+    def _scrub(self, now: float) -> None:
+        """Have a record read back while nothing else wants the disk."""
+        state = self.chain.durable
+        self.scrubber.consider(
+            now,
+            {Store.ACCEPTOR: 0, Store.STATE: len(state.document) + len(state.history)},
+            is_quiet=self.disk.healthy
+            and self.disk.idle
+            and self.acceptor.accepted is None
+            and (self.chain.active or not self.chain.participating),
+        )
+
+    def _save_again(self, store: Store) -> None:
+        if store is Store.STATE:
+            self.chain.save_again()
+        else:
+            self.reply_gate.request_save()
+
     # --- views
 
     def _known_view(self) -> View | None:
--- a/roselink/simulation/disk.py
+++ b/roselink/simulation/disk.py
@@ -269,6 +269,17 @@
         self.present = {name: File(content) for name, content in contents.items()}
         self.durable = dict(self.present)
 
+    def rot(self, draw: random.Random) -> None:
+        """Flip a bit of one record's bytes, as drawn; nothing happens on an empty disk."""
+        names = sorted(name for name, file in self.present.items() if file.content)
+        if not names:
+            return
+        file = self.present[draw.choice(names)]
+        content = bytearray(file.content)
+        content[draw.randrange(len(content))] ^= 1 << draw.randrange(8)
+        file.synced = bytes(content)
+        file.unsynced = []
+
     def _alternatives(self, name: str) -> list[File | None]:
         present = self.present.get(name)
         durable = self.durable.get(name)
--- a/roselink/simulation/machine.py
+++ b/roselink/simulation/machine.py
@@ -22,8 +22,10 @@
     Persist,
     ReadDone,
     Send,
+    Store,
     SubmitDone,
     SubmitOutcome,
+    VerifyRecord,
     ViewChanged,
 )
 from roselink.coordination.member import TICK_S, Member, Start
@@ -244,6 +246,8 @@
             elif isinstance(effect, Persist):
                 self.disk.queue.append(effect)
                 self._save_next(self.process_number)
+            elif isinstance(effect, VerifyRecord):
+                self._verify(self.process_number, effect.store)
             elif isinstance(effect, SubmitDone):
                 self.pending_submits.pop(effect.number)(effect.outcome)
             elif isinstance(effect, ReadDone):
@@ -334,6 +338,14 @@
             self.run(process_number, lambda member: member.persisted(save.store, self.cluster.now))
         self._save_next(process_number)
 
+    def _verify(self, process_number: int, store: Store) -> None:
+        """Read a record back once the disk gets to it."""
+
+        def read(member: Member) -> list[Effect]:
+            return member.verified(store, self.storage.verify(store), self.cluster.now)
+
+        self.cluster.after(self.disk.latency_s, lambda: self.run(process_number, read))
+
     def _tick(self, process_number: int) -> None:
         if process_number != self.process_number or self.member is None:
             return
--- a/roselink/simulation/scenarios.py
+++ b/roselink/simulation/scenarios.py
@@ -6,6 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from roselink.coordination.scrub import FACTOR_RANGE, FIRST_FACTOR, INTERVAL_S
 from roselink.coordination.state import find
 from roselink.simulation.clients import Operator, Reader, change_in
 from roselink.simulation.cluster import Cluster
@@ -24,6 +25,7 @@
     CLUSTER_FAULTS,
     MACHINE_FAULTS,
     RECOVERY_S,
+    RESTART_SPREAD_S,
     Fault,
     cut_random_link,
     inject_and_repair,
@@ -45,6 +47,8 @@
 GATEWAYS = 3
 # Until all machines form the first view, in virtual seconds.
 START_S = 3.0
+# Within this time the scrub has read each record of every member, in virtual seconds.
+SCRUB_S = 2 * (FIRST_FACTOR + FACTOR_RANGE) * INTERVAL_S + 1.0
 # From the last fault to the checks, in virtual seconds.
 SETTLING_S = 8.0
 STORM_FAULTS = (
@@ -308,6 +312,30 @@
     return scenario.finish()
 
 
+def rot_day(seed: int, machines: int, tolerated: int) -> ScenarioResult:
+    """Have records rot on disks while their members run: one after the other, and beside losses.
+
+    Rotten copies that the scrub has not found yet count as lost disks, and no more are lost.
+    """
+    cluster = Cluster(seed, machines, tolerated)
+    scenario = Scenario(cluster)
+    cluster.run(START_S + RECOVERY_S)
+    draw = cluster.random
+    for machine in list(cluster.machines.values()):
+        machine.disk.files.rot(draw)
+        cluster.run(draw.uniform(SCRUB_S, SCRUB_S + 5.0))
+    restart_all(cluster)
+    cluster.run(RESTART_SPREAD_S + RECOVERY_S)
+    victims = draw.sample(cluster.running_machines(), tolerated)
+    wiped = draw.randint(0, tolerated)
+    for victim in victims[wiped:]:
+        victim.disk.files.rot(draw)
+    cluster.run(draw.choice([0.0, 0.1, 1.0]))
+    restart_all(cluster, victims[:wiped])
+    cluster.run(RESTART_SPREAD_S + RECOVERY_S)
+    return scenario.finish()
+
+
 def day_of_seed(seed: int) -> ScenarioResult:
     """Run a day whose kind, size and links follow from its seed."""
     machines = 3 + seed % 3
@@ -320,6 +348,8 @@
         return rolling_repair_day(seed, machines)
     if seed % 16 == 5:
         return split_brain_day(seed, machines, tolerated)
+    if seed % 16 == 7:
+        return rot_day(seed, machines, tolerated)
     return fault_episodes_day(seed, machines, tolerated, lossy=bool(seed % 2))
 
 
--- a/roselink/status.py
+++ b/roselink/status.py
@@ -9,7 +9,7 @@
 
 import http.client
 import json
-from typing import TYPE_CHECKING, Any, TypedDict, cast
+from typing import TYPE_CHECKING, Any, NotRequired, TypedDict, cast
 
 from roselink.budgets.ownership import rendezvous_owner
 from roselink.budgets.quota_client import KEY_PREFIX as QUOTA_PREFIX
@@ -40,6 +40,15 @@
     roster: int
 
 
+class DiskStatus(TypedDict):
+    """The disk of the controller that was asked; `checked_s` is None before the first check."""
+
+    healthy: bool
+    checks: int
+    damaged: int
+    checked_s: float | None
+
+
 class Versions(TypedDict):
     """The newest versions that a controller knows; None where it cannot confirm one."""
 
@@ -59,6 +68,7 @@
     confirmed: bool
     generation: int | None
     versions: Versions
+    disk: NotRequired[DiskStatus]
     gateways: list[GatewayStatus]
     # Added here: the operator address that `gateways` are from, and the owner of each budget.
     gateways_from: str | None
@@ -168,12 +178,24 @@
         f"generation {_number_or_unknown(status['generation'])}",
         "versions   " + ", ".join(f"{kind} {_version(value)}" for kind, value in versions.items()),
     ]
+    if "disk" in status:
+        lines.append(f"disk       {_disk(status['disk'])}")
     lines += ["", *_gateway_lines(status)]
     if status.get("owners"):
         lines += ["", *_table(("role", "owner"), sorted(status["owners"].items()))]
     return lines
 
 
+def _disk(disk: DiskStatus) -> str:
+    condition = "healthy" if disk["healthy"] else "NOT HEALTHY"
+    if disk["checked_s"] is None:
+        return f"{condition}, not read back yet"
+    return (
+        f"{condition}, read back {disk['checked_s']:.0f} s ago,"
+        f" {disk['damaged']} damaged in {disk['checks']} reads"
+    )
+
+
 def _gateway_lines(status: FleetStatus) -> list[str]:
     if status["gateways_from"] is None:
         return ["gateways   unknown: the chain's tail did not tell"]
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -162,3 +162,23 @@
     lines = render(cast("FleetStatus", status))
     assert "chain      -" in lines
     assert "gateways   none has pulled from the tail" in lines
+
+
+@pytest.mark.parametrize(
+    ("disk", "line"),
+    [
+        (
+            {"healthy": True, "checks": 14, "damaged": 1, "checked_s": 12.2},
+            "disk       healthy, read back 12 s ago, 1 damaged in 14 reads",
+        ),
+        (
+            {"healthy": False, "checks": 0, "damaged": 0, "checked_s": None},
+            "disk       NOT HEALTHY, not read back yet",
+        ),
+    ],
+)
+def test_the_disk_of_the_controller_that_was_asked(disk: dict[str, Any], line: str) -> None:
+    lines = render(cast("FleetStatus", state(gateways_from=None, disk=disk)))
+    assert line in lines
+    without = render(cast("FleetStatus", state(gateways_from=None)))
+    assert [each for each in lines if each not in without] == [line]
--- a/tests/controller/fakes.py
+++ b/tests/controller/fakes.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from roselink.controller.chain_interface import DiskStatus
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -42,6 +44,9 @@
     def confirm(self, done: Callable[[Confirmation | None], None]) -> None:
         self.reads.put_nowait(done)
 
+    def disk_status(self) -> DiskStatus:
+        return DiskStatus(healthy=True, checks=3, damaged=1, checked_s=2.0)
+
     def on_view(self, callback: Callable[[], None]) -> None:
         self.watchers.append(callback)
 
--- a/tests/controller/single_member_core.py
+++ b/tests/controller/single_member_core.py
@@ -13,6 +13,7 @@
     ConfigurationChange,
     Confirmation,
     Conflict,
+    DiskStatus,
     SubmitOutcome,
 )
 from roselink.coordination.exceptions import DriverContractError
@@ -79,6 +80,9 @@
     def confirm(self, done: Callable[[Confirmation | None], None]) -> None:
         done(self.newest)
 
+    def disk_status(self) -> DiskStatus:
+        return DiskStatus(healthy=True, checks=3, damaged=1, checked_s=2.0)
+
     def on_view(self, callback: Callable[[], None]) -> None:
         pass
 
--- a/tests/controller/test_chain_driver.py
+++ b/tests/controller/test_chain_driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import threading
 from typing import TYPE_CHECKING
@@ -10,6 +11,8 @@
 import pytest
 
 from roselink.controller.chain_driver import ChainDriver
+from roselink.controller.storage import Storage
+from roselink.coordination import scrub
 from roselink.coordination.effects import ChangeCommitted, Confirmation, Conflict, SubmitOutcome
 from roselink.coordination.state import digest_of
 from roselink.model.settings import ProcessSettings, read_settings
@@ -31,14 +34,16 @@
         return int(bound.getsockname()[1])
 
 
-def settings_of(host: str, port: int, folder: Path, bootstrap: bool) -> ProcessSettings:
+def settings_of(
+    host: str, port: int, folder: Path, bootstrap: bool, seeds: tuple[str, ...]
+) -> ProcessSettings:
     return read_settings(
         {
             "node_name": host,
             "ip": host,
             "bind": {},
             "port_range": [port, port],
-            "seeds": [f"{seed}:1" for seed in HOSTS],
+            "seeds": [f"{seed}:1" for seed in seeds],
             "bootstrap": bootstrap,
             "limits": {},
             "data_dir": str(folder),
@@ -50,11 +55,19 @@
 class Process:
     """What a core process has of it: a server, a pool and the node."""
 
-    def __init__(self, host: str, port: int, folder: Path, *, bootstrap: bool = True) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        folder: Path,
+        *,
+        bootstrap: bool = True,
+        seeds: tuple[str, ...] = HOSTS,
+    ) -> None:
         self.host, self.port = host, port
         self.pool = PeerPool(self._handle)
         self.server = PeerServer(self._handle)
-        settings = settings_of(host, port, folder, bootstrap)
+        settings = settings_of(host, port, folder, bootstrap, seeds)
         self.node = ChainDriver(settings, self.pool, asyncio.get_running_loop())
 
     def _handle(self, peer: Address, message: object, reply: ReplySender) -> None:
@@ -159,3 +172,46 @@
 @pytest.mark.parametrize("planned", [False, True])
 def test_three_nodes_serve_on_when_the_head_ends(tmp_path: Path, planned: bool) -> None:
     asyncio.run(play(tmp_path, planned))
+
+
+async def rot(folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    """One byte of a running member's disk flips, twice; then the member starts again."""
+    process = Process(HOSTS[0], free_port(), folder, seeds=HOSTS[:1])
+    await process.begin()
+    await settled(process, order_on(0, 1))
+    for times in (1, 2):
+        (path,) = folder.glob("state-*.dat")
+        content = bytearray(path.read_bytes())
+        content[-1] ^= 1
+        path.write_bytes(content)
+        async with asyncio.timeout(10):
+            while process.node.disk_status().damaged < times:
+                await asyncio.sleep(0.01)
+            while Storage(str(folder)).load() == (None, None):
+                await asyncio.sleep(0.01)
+    status = process.node.disk_status()
+    assert status.healthy
+    assert status.checks >= 2
+    assert status.checked_s is not None
+    process.kill()
+    (path,) = folder.glob("state-*.dat")
+    path.write_bytes(path.read_bytes()[:-1])
+    again = Process(HOSTS[0], process.port, folder, bootstrap=False)
+    await again.begin()
+    again.kill()
+    logged = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
+    events = [(line["event"], line.get("times")) for line in logged if "disk" in line["event"]]
+    assert events == [
+        ("disk_record_damaged", 1),
+        ("disk_record_damaged", 2),
+        ("disk_untrusted", 2),
+        ("disk_record_unusable", None),
+        ("disk_counts_as_lost", None),
+    ]
+
+
+def test_a_record_that_rots_is_written_anew_and_reported(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(scrub, "INTERVAL_S", 0.05)
+    asyncio.run(rot(tmp_path, capsys))
--- a/tests/controller/test_storage.py
+++ b/tests/controller/test_storage.py
@@ -15,7 +15,7 @@
 
 from roselink.controller import storage
 from roselink.controller.storage import Storage, record_number
-from roselink.coordination.effects import Store
+from roselink.coordination.effects import Store, VerificationOutcome
 from roselink.coordination.state import EMPTY
 from roselink.protocol.chain import AcceptorState, ConfigurationState, StoredState, Voter
 from roselink.protocol.records import encode
@@ -240,3 +240,65 @@
     with faulty(monkeypatch, disk):
         save(storing, 3)
     assert 10 < disk.steps < STEPS
+
+
+def flip_a_byte(path: Path, at: int = -1) -> None:
+    content = bytearray(path.read_bytes())
+    content[at] ^= 1
+    path.write_bytes(content)
+
+
+@pytest.mark.parametrize("suffix", [".dat", ".dir"])
+@pytest.mark.parametrize("restarted", [False, True])
+def test_a_record_that_rots_is_found_by_reading_it_back(
+    tmp_path: Path, suffix: str, restarted: bool
+) -> None:
+    disk = prepared(tmp_path)
+    if restarted:
+        disk = Storage(str(tmp_path))
+        disk.load()
+    assert all(disk.verify(store) is VerificationOutcome.INTACT for store in Store)
+    (path,) = tmp_path.glob(f"state-*{suffix}")
+    flip_a_byte(path, at=0 if suffix == ".dir" else -1)
+    assert disk.verify(Store.STATE) is VerificationOutcome.DAMAGED
+    assert disk.verify(Store.ACCEPTOR) is VerificationOutcome.INTACT
+    save(disk, 3)
+    assert disk.verify(Store.STATE) is VerificationOutcome.INTACT
+    assert loaded(tmp_path) == state_of(3)
+
+
+def test_a_record_that_is_gone_is_damaged_and_one_that_cannot_be_read_is_unknown(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    disk = prepared(tmp_path)
+    with monkeypatch.context() as patch:
+        patch.setattr(disk.files, "database", failing_database)
+        assert disk.verify(Store.STATE) is VerificationOutcome.UNREADABLE
+    for path in tmp_path.glob("state-*"):
+        path.unlink()
+    assert disk.verify(Store.STATE) is VerificationOutcome.DAMAGED
+
+
+def failing_database(base: str, flag: str) -> Any:
+    raise OSError(errno.EIO, "input/output error")
+
+
+def test_a_save_that_failed_is_not_taken_for_the_durable_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    disk = prepared(tmp_path)
+    with monkeypatch.context() as patch:
+        patch.setattr(disk.files, "database", failing_database)
+        with pytest.raises(OSError, match="input/output"):
+            save(disk, 3)
+    assert disk.verify(Store.STATE) is VerificationOutcome.INTACT
+    assert loaded(tmp_path) == state_of(2)
+
+
+def test_a_start_names_what_it_could_not_use(tmp_path: Path) -> None:
+    prepared(tmp_path)
+    (path,) = tmp_path.glob("state-*.dat")
+    flip_a_byte(path)
+    disk = Storage(str(tmp_path))
+    assert disk.load() == (None, None)
+    assert disk.damaged == [(Store.STATE, 2)]
--- a/tests/mutations/controller.py
+++ b/tests/mutations/controller.py
@@ -26,8 +26,8 @@
         ("the folder is not synced", "        self.files.sync(self.folder)\n", ""),
         (
             "a torn record is taken",
-            "if checksum != _checksum(generation, record, payload):",
-            "if False:",
+            " if checksum == _checksum(generation, record, payload) else None",
+            "",
         ),
         (
             "half of a disk is taken",
@@ -170,4 +170,13 @@
             "for view in (each.view,) if",
         ),
     ),
+    *mutations_of(
+        "controller/storage.py",
+        ("tests/controller/test_storage.py",),
+        (
+            "a generation whose save failed is read back",
+            "self._payload(store, self._durable.get(store, 0))",
+            "self._payload(store, self._newest.get(store, 0))",
+        ),
+    ),
 )
--- a/tests/mutations/coordination.py
+++ b/tests/mutations/coordination.py
@@ -316,4 +316,37 @@
             "if False:",
         ),
     ),
+    *mutations_of(
+        "coordination/scrub.py",
+        ("tests/coordination/test_scrub.py",),
+        (
+            "a record is read beside a save",
+            "or now < self._next_at or not is_quiet:",
+            "or now < self._next_at:",
+        ),
+        (
+            "a second read begins before the first has ended",
+            "if self._reading is not None or now",
+            "if now",
+        ),
+        (
+            "a large record is read as fast as a small one",
+            "return max(INTERVAL_S * factor, size / MAX_BYTES_PER_S)",
+            "return INTERVAL_S * factor",
+        ),
+    ),
+    *mutations_of(
+        "coordination/member.py",
+        ("tests/coordination/test_scrub.py",),
+        (
+            "a damaged record stays as it is",
+            "            self._save_again(store)\n",
+            "            pass\n",
+        ),
+        (
+            "a disk that cannot be read counts as healthy",
+            "            self.disk.read_failed()\n",
+            "            pass\n",
+        ),
+    ),
 )
--- a/tests/simulation/test_scenarios.py
+++ b/tests/simulation/test_scenarios.py
@@ -18,6 +18,7 @@
     long_partition_day,
     read,
     rolling_repair_day,
+    rot_day,
     split_brain_day,
     storm_day,
 )
@@ -243,6 +244,11 @@
     split_brain_day(seed, 3 + seed % 3, 2 if seed % 3 == 2 else 1)
 
 
+@pytest.mark.parametrize("seed", range(800, 803))
+def test_records_that_rot_on_disks(seed: int) -> None:
+    rot_day(seed, 3 + seed % 3, 2 if seed % 3 == 2 else 1)
+
+
 @pytest.mark.many_seeds
 @pytest.mark.parametrize("seed", range(1000, 5000))
 def test_many_days(seed: int) -> None:
