--- a/roselink/__main__.py
+++ b/roselink/__main__.py
@@ -35,7 +35,7 @@
         settings = load_settings(os.environ.get(ENVIRONMENT_VARIABLE, DEFAULT_PATH))
     except SettingsError as error:
         for fault in error.faults:
-            sys.stderr.write(f"settings: {fault}\n")
+            sys.stderr.write(f"settings: {fault} [{error.code}]\n")
         return EXIT_BAD_SETTINGS
     if command == "router":
         from roselink.router.app import run
--- a/roselink/balancer/exceptions.py
+++ b/roselink/balancer/exceptions.py
@@ -8,6 +8,8 @@
 class BalancerError(RoselinkError):
     """Base of the errors of `roselink.balancer`."""
 
+    code = "BAL-000"
+
 
 class SettingsError(BalancerError, ValueError):
     """A setting cannot work.
@@ -17,6 +19,8 @@
         problem: What is wrong with it.
     """
 
+    code = "BAL-001"
+
     def __init__(self, field: str, problem: str) -> None:
         """Names the field and what is wrong with it."""
         super().__init__(f"{field}: {problem}")
@@ -32,6 +36,8 @@
         path: Where in the batch, from the outside in.
     """
 
+    code = "BAL-002"
+
     def __init__(self, *, problem: str, path: tuple[str, ...] = ()) -> None:
         """Joins the path and the problem to the text."""
         super().__init__(": ".join((*path, problem)))
--- a/roselink/cli.py
+++ b/roselink/cli.py
@@ -57,7 +57,7 @@
     try:
         fleet_status = fetch_status(address)
     except StatusUnavailableError as error:
-        sys.stderr.write(f"{error}\n")
+        sys.stderr.write(f"{error} [{error.code}]\n")
         return EXIT_UNAVAILABLE
     text = codec.dumps(fleet_status, indent=2) if json else "\n".join(render(fleet_status))
     sys.stdout.write(text + "\n")
--- a/roselink/controller/api.py
+++ b/roselink/controller/api.py
@@ -19,6 +19,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Request, Site
 
+from roselink.controller.api_errors import ApiError
 from roselink.controller.chain_interface import (
     ChangeCommitted,
     ConfigurationChange,
@@ -181,9 +182,7 @@
     def _base_or_error(self, request: ApiRequest) -> int | bytes:
         """The version that a change builds on, or the response to a change that is refused."""
         if request.too_large:
-            return _json_response(
-                request, 413, {"error": "too large", "most_bytes": MAX_BODY_BYTES}
-            )
+            return _error(request, ApiError.TOO_LARGE, most_bytes=MAX_BODY_BYTES)
         base = parse_base(
             [str(value) for value in request.requestHeaders.getRawHeaders("X-Base-Version", [])]
         )
@@ -192,7 +191,7 @@
                 request, (ValidationFault("X-Base-Version", "must be one whole number"),)
             )
         if self._stopping:
-            return _unavailable(request, "stopping")
+            return _unavailable(request, ApiError.STOPPING)
         return base
 
     def _respond_to_change(
@@ -243,7 +242,7 @@
                     request, (ValidationFault("generation", f"must be above {current}"),)
                 )
             case OutcomeUnknown():
-                return _unavailable(request, "unsettled")
+                return _unavailable(request, ApiError.UNSETTLED)
 
     def _get(self, request: ApiRequest) -> Deferred[bytes]:
         confirmed = self._with_timeout(CONFIRM_TIMEOUT_S, self._chain.confirm, None)
@@ -251,9 +250,9 @@
 
     def _document_response(self, confirmation: Confirmation | None, request: ApiRequest) -> bytes:
         if confirmation is None:
-            return _unavailable(request, "unconfirmed")
+            return _unavailable(request, ApiError.UNCONFIRMED)
         if confirmation.document is None:
-            return _json_response(request, 404, {"error": "no configuration yet"})
+            return _error(request, ApiError.NO_CONFIGURATION)
         return _response(request, 200, confirmation.document)
 
     def _status(self, request: ApiRequest) -> Deferred[bytes]:
@@ -331,15 +330,18 @@
 
 
 def _invalid(request: ApiRequest, faults: tuple[ValidationFault, ...]) -> bytes:
-    return _json_response(
-        request, 400, {"error": "invalid", "faults": [asdict(fault) for fault in faults]}
-    )
+    return _error(request, ApiError.INVALID, faults=[asdict(fault) for fault in faults])
 
 
 def _conflict(request: ApiRequest, current: int) -> bytes:
-    return _json_response(request, 412, {"error": "conflict", "current": current})
+    return _error(request, ApiError.CONFLICT, current=current)
 
 
-def _unavailable(request: ApiRequest, reason: str) -> bytes:
+def _unavailable(request: ApiRequest, error: ApiError) -> bytes:
     request.setHeader(b"Retry-After", RETRY_AFTER_S.encode())  # type: ignore[no-untyped-call]
-    return _json_response(request, 503, {"error": reason})
+    return _error(request, error)
+
+
+def _error(request: ApiRequest, error: ApiError, **fields: object) -> bytes:
+    document = {"error": error.reason, "code": error.code, **fields}
+    return _json_response(request, error.status, document)
--- a/roselink/controller/app.py
+++ b/roselink/controller/app.py
@@ -17,6 +17,7 @@
 from typing import TYPE_CHECKING
 
 from roselink.controller.startup_log import log
+from roselink.exceptions import code_of
 from roselink.model.settings import (
     DEFAULT_PATH,
     ENVIRONMENT_VARIABLE,
@@ -123,7 +124,7 @@
         if task.cancelled() or task.exception() is None:
             return
         self.failure = task.exception()
-        log.error("core_failed", error=repr(self.failure))
+        log.error("core_failed", error=repr(self.failure), code=code_of(self.failure))
         self._halt()
 
     def _callback_failed(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
@@ -133,7 +134,7 @@
         error = context.get("exception")
         if isinstance(error, BrokenInvariantError):
             self.failure = error
-            log.error("core_failed", error=repr(error))
+            log.error("core_failed", error=repr(error), code=code_of(error))
             self._halt()
             return
         trace = traceback.format_exception(error) if isinstance(error, BaseException) else []
--- a/roselink/controller/exceptions.py
+++ b/roselink/controller/exceptions.py
@@ -8,6 +8,8 @@
 class ControllerError(RoselinkError):
     """Base of the controller's errors."""
 
+    code = "CTL-000"
+
 
 class DataDirMissingError(ControllerError, ValueError):
     """The settings of a core member name no disk folder.
@@ -17,6 +19,8 @@
         node_name: the process's name.
     """
 
+    code = "CTL-001"
+
     def __init__(self, node_name: str) -> None:
         """Note whose settings lack the key."""
         super().__init__("data_dir: a core member needs a disk")
--- a/roselink/dataplane/exceptions.py
+++ b/roselink/dataplane/exceptions.py
@@ -8,6 +8,8 @@
 class DataPlaneError(RoselinkError):
     """Base class of the exceptions of `roselink.dataplane`."""
 
+    code = "DPL-000"
+
 
 class UnrequestedResponseError(DataPlaneError):
     """A response that belongs to no request of this connection.
@@ -16,6 +18,8 @@
         response_id: its `X-Request-Id`, None where it has none.
     """
 
+    code = "DPL-001"
+
     def __init__(self, response_id: bytes | None) -> None:
         """Keep the id of the response."""
         super().__init__(f"response to {response_id!r}")
--- a/roselink/gateway/__main__.py
+++ b/roselink/gateway/__main__.py
@@ -160,12 +160,12 @@
     try:
         config = load(os.environ)
     except ConfigError as error:
-        print(f"roselink.gateway: {error}", file=sys.stderr)
+        print(f"roselink.gateway: {error} [{error.code}]", file=sys.stderr)
         return 2
     try:
         uvloop.run(serve(config))
     except ConfigError as error:
-        print(f"roselink.gateway: {error}", file=sys.stderr)
+        print(f"roselink.gateway: {error} [{error.code}]", file=sys.stderr)
         return 2
     return 0
 
--- a/roselink/gateway/exceptions.py
+++ b/roselink/gateway/exceptions.py
@@ -8,6 +8,8 @@
 class GatewayError(RoselinkError):
     """Base of the errors of `roselink.gateway`."""
 
+    code = "GTW-000"
+
 
 class ConfigError(GatewayError):
     """The configuration cannot work; its text is one plain line.
@@ -17,6 +19,8 @@
         problem: What is wrong with it.
     """
 
+    code = "GTW-001"
+
     def __init__(self, field: str, problem: str) -> None:
         """Names the field and what is wrong with it."""
         super().__init__(f"{field}: {problem}")
@@ -27,6 +31,8 @@
 class MalformedListError(GatewayError):
     """What discovery sent is no list of hosts; the text says why."""
 
+    code = "GTW-002"
+
     def __init__(self, *, reason: str) -> None:
         """Keeps the reason, which the log shows."""
         super().__init__(reason)
--- a/roselink/http/exceptions.py
+++ b/roselink/http/exceptions.py
@@ -8,6 +8,8 @@
 class HttpError(RoselinkError):
     """Base class of the exceptions of `roselink.http`."""
 
+    code = "HTP-000"
+
 
 class BadRequestError(HttpError):
     """What a client sent is no request that can be served.
@@ -16,6 +18,8 @@
         status: the status that the client gets.
     """
 
+    code = "HTP-001"
+
     def __init__(self, status: int, reason: str) -> None:
         """Keep the status.
 
@@ -30,10 +34,14 @@
 class UnreadableResponseError(HttpError):
     """Base class: what a host sent is no response that can be used."""
 
+    code = "HTP-002"
+
 
 class ResponseTooLongError(UnreadableResponseError):
     """A head or a body passes its limit."""
 
+    code = "HTP-003"
+
     def __init__(self, section: str, limit: int) -> None:
         """Say which section it is, "head" or "body", and its limit in bytes."""
         super().__init__(f"{section} of more than {limit} bytes")
@@ -44,6 +52,8 @@
 class TooManyInterimResponsesError(UnreadableResponseError):
     """More interim responses (1xx) than make sense lie ahead of the final one."""
 
+    code = "HTP-004"
+
     def __init__(self, limit: int) -> None:
         """Keep how many are allowed."""
         super().__init__(f"more than {limit} interim responses")
--- a/roselink/lab/exceptions.py
+++ b/roselink/lab/exceptions.py
@@ -8,6 +8,8 @@
 class LabError(RoselinkError):
     """Base of the errors of this package."""
 
+    code = "LAB-000"
+
 
 class MalformedMessageError(LabError):
     """An HTTP message ended early or can't be parsed.
@@ -17,6 +19,8 @@
         reason: what is wrong with it.
     """
 
+    code = "LAB-001"
+
     def __init__(self, part: str, reason: object) -> None:
         """Note the part and what is wrong with it."""
         super().__init__(f"no {part}: {reason}")
@@ -33,6 +37,8 @@
         log_tail: the end of its log.
     """
 
+    code = "LAB-002"
+
     def __init__(self, name: str, status: int, log_tail: str) -> None:
         """Note the machine, the exit status and the end of the log."""
         super().__init__(f"{name}: exit status {status}: {log_tail}")
@@ -49,6 +55,8 @@
         most: the largest number.
     """
 
+    code = "LAB-003"
+
     def __init__(self, routers: int, most: int) -> None:
         """Note the number of routers and the limit."""
         super().__init__(f"routers: 1 to {most}")
@@ -64,6 +72,8 @@
         body: the body of the response.
     """
 
+    code = "LAB-004"
+
     def __init__(self, status: int, body: str) -> None:
         """Note the status and the body of the response."""
         super().__init__(f"status {status}: {body}")
--- a/roselink/model/settings.py
+++ b/roselink/model/settings.py
@@ -23,16 +23,17 @@
 class ModelError(RoselinkError):
     """Base of the model's errors."""
 
+    code = "MDL-000"
+
 
 class SettingsError(ModelError):
     """The settings are invalid.
 
     Attributes:
-        code: the process's exit status.
         faults: one line a fault, which begins with the key.
     """
 
-    code = 2
+    code = "MDL-001"
 
     def __init__(self, faults: list[str]) -> None:
         """Note the faults."""
--- a/roselink/protocol/exceptions.py
+++ b/roselink/protocol/exceptions.py
@@ -8,10 +8,14 @@
 class ProtocolError(RoselinkError):
     """Base class of this package's errors."""
 
+    code = "PRT-000"
+
 
 class RecordNumberTakenError(ProtocolError, ValueError):
     """Two classes ask for one record number."""
 
+    code = "PRT-001"
+
     def __init__(self, number: int, registered: str) -> None:
         """`registered` is the name of the class that has the number."""
         super().__init__(f"record number {number} is taken by {registered}")
@@ -22,6 +26,8 @@
 class UnsupportedFieldTypeError(ProtocolError, TypeError):
     """A field is annotated with a type that has no codec."""
 
+    code = "PRT-002"
+
     def __init__(self, field_type: object, supported: str) -> None:
         """`supported` says what is allowed in its place."""
         super().__init__(f"a record can't hold {field_type!r}: {supported}")
@@ -32,10 +38,14 @@
 class RecordError(ProtocolError, ValueError):
     """The bytes are no record of the type that they claim to be."""
 
+    code = "PRT-003"
+
 
 class UnknownRecordError(RecordError):
     """No class is registered under the number."""
 
+    code = "PRT-004"
+
     def __init__(self, number: int) -> None:
         """`number` is the record number that came with the bytes."""
         super().__init__(f"unknown record {number}")
@@ -45,6 +55,8 @@
 class MalformedRecordError(RecordError):
     """The bytes can't be decoded as a record of the class."""
 
+    code = "PRT-005"
+
     def __init__(self, record: str, reason: str) -> None:
         """`record` is the name of the class."""
         super().__init__(f"{record}: {reason}")
@@ -55,6 +67,8 @@
 class TruncatedFieldError(RecordError):
     """A field is longer than the rest of its record."""
 
+    code = "PRT-006"
+
     def __init__(self, size: int, available: int) -> None:
         """`size` is the length that the field announces, `available` what is left, in bytes."""
         super().__init__("cut short")
@@ -65,6 +79,8 @@
 class TooManyItemsError(RecordError):
     """A tuple announces more items than a record may hold."""
 
+    code = "PRT-007"
+
     def __init__(self, count: int) -> None:
         """`count` is the announced number of items."""
         super().__init__("too many items")
@@ -74,6 +90,8 @@
 class FrameError(ProtocolError, ValueError):
     """The stream holds no frame at this position."""
 
+    code = "PRT-008"
+
     def __init__(self, reason: str) -> None:
         """`reason` is what the log shows."""
         super().__init__(reason)
--- a/roselink/protocol/peer_connection.py
+++ b/roselink/protocol/peer_connection.py
@@ -65,7 +65,9 @@
         try:
             frames = self._decoder.feed(data)
         except FrameError as error:
-            log.warning("peer_frame_rejected peer=%s error=%s", self._peer[0], error)
+            log.warning(
+                "peer_frame_rejected peer=%s code=%s error=%s", self._peer[0], error.code, error
+            )
             self.abort()
             return
         for kind, call, message in frames:
--- a/roselink/simulation/exceptions.py
+++ b/roselink/simulation/exceptions.py
@@ -15,6 +15,8 @@
 class SimulationError(RoselinkError):
     """Base of the errors of this package."""
 
+    code = "SIM-000"
+
 
 class ScenarioError(SimulationError, AssertionError):
     """A scenario ended in a state that it must not end in.
@@ -24,6 +26,8 @@
         violations: what the history checker found that one register can't explain.
     """
 
+    code = "SIM-001"
+
     def __init__(self, reason: str, violations: tuple[Violation, ...] = ()) -> None:
         """Note the reason and the violations, which the text lists one a line."""
         super().__init__(reason + "".join(f"\n  {each.rule}: {each.detail}" for each in violations))
@@ -39,6 +43,8 @@
         path: the steps that lead to the state.
     """
 
+    code = "SIM-002"
+
     def __init__(self, reason: str, path: tuple[ModelStep, ...]) -> None:
         """Note the invariant and the path, whose steps the text lists one a line."""
         super().__init__(reason + "".join(f"\n  {step}" for step in path))
@@ -49,6 +55,8 @@
 class ProcessCrashError(SimulationError):
     """The simulated process ends at this disk operation."""
 
+    code = "SIM-003"
+
 
 class UnknownStateError(SimulationError, AssertionError):
     """A machine has a part of which no fingerprint can be taken.
@@ -57,6 +65,8 @@
         kind: the class of the part.
     """
 
+    code = "SIM-004"
+
     def __init__(self, kind: type[object]) -> None:
         """Note the class of the part."""
         super().__init__(f"no fingerprint of a {kind.__name__}")
@@ -70,6 +80,8 @@
         address: the address of the machine.
     """
 
+    code = "SIM-005"
+
     def __init__(self, address: str) -> None:
         """Note the address of the machine."""
         super().__init__(f"{address} runs no process")
@@ -84,6 +96,8 @@
         refusal: the result of the validation.
     """
 
+    code = "SIM-006"
+
     def __init__(self, change: Change, refusal: ValidationFailure) -> None:
         """Note the change and the result of its validation."""
         super().__init__(f"{change}: {refusal}")
@@ -99,6 +113,8 @@
         text: the text of the change that was confirmed or returned; None for no configuration.
     """
 
+    code = "SIM-007"
+
     def __init__(self, sequence: int, text: str | None) -> None:
         """Note the sequence and the text of the change."""
         super().__init__(f"sequence {sequence} is not unique to the change {text}")
@@ -109,6 +125,8 @@
 class NoActiveChainError(ScenarioError):
     """No chain is active at the end of a scenario."""
 
+    code = "SIM-008"
+
     def __init__(self) -> None:
         """Give the reason."""
         super().__init__("no active chain at the end")
@@ -117,6 +135,8 @@
 class HostListWentBackError(ScenarioError):
     """A gateway used an older list of hosts after a newer one."""
 
+    code = "SIM-009"
+
     def __init__(self) -> None:
         """Give the reason."""
         super().__init__("a gateway's list of hosts went back")
@@ -125,6 +145,8 @@
 class NothingConfirmedError(ScenarioError):
     """No change was confirmed in a scenario, or no gateway let a request through."""
 
+    code = "SIM-010"
+
     def __init__(self) -> None:
         """Give the reason."""
         super().__init__("no change was confirmed, or no key was used")
@@ -133,6 +155,8 @@
 class UnexplainedHistoryError(ScenarioError):
     """One register can't explain the history of a scenario."""
 
+    code = "SIM-011"
+
     def __init__(self, violations: tuple[Violation, ...]) -> None:
         """Note the violations."""
         super().__init__("the history has no explanation", violations)
@@ -145,6 +169,8 @@
         address: the address of the machine.
     """
 
+    code = "SIM-012"
+
     def __init__(self, address: str, reason: str) -> None:
         """Note the machine and the reason."""
         super().__init__(f"{address} {reason}")
@@ -154,6 +180,8 @@
 class NotRecoveredError(MachineError):
     """A machine does not take part in the active chain at the end of a scenario."""
 
+    code = "SIM-013"
+
     def __init__(self, address: str) -> None:
         """Note the machine."""
         super().__init__(address, "has not recovered")
@@ -162,6 +190,8 @@
 class ReadTimedOutError(MachineError):
     """A read at a machine did not end within its time-out."""
 
+    code = "SIM-014"
+
     def __init__(self, address: str) -> None:
         """Note the machine."""
         super().__init__(address, "did not end a read")
@@ -170,6 +200,8 @@
 class UnconfirmedReadError(MachineError):
     """A read that has to be confirmed was not."""
 
+    code = "SIM-015"
+
     def __init__(self, address: str) -> None:
         """Note the machine."""
         super().__init__(address, "can't confirm a read")
@@ -182,6 +214,8 @@
         change: the change.
     """
 
+    code = "SIM-016"
+
     def __init__(self, reason: str, change: Change) -> None:
         """Note the reason and the change."""
         super().__init__(f"{reason}: {change}")
@@ -191,6 +225,8 @@
 class LostChangeError(ChangeStateError):
     """A confirmed change is not on a member's disk."""
 
+    code = "SIM-017"
+
     def __init__(self, change: Change) -> None:
         """Note the change."""
         super().__init__("a confirmed change is lost", change)
@@ -199,6 +235,8 @@
 class RefusedChangeInForceError(ChangeStateError):
     """A refused change is in force on a member's disk."""
 
+    code = "SIM-018"
+
     def __init__(self, change: Change) -> None:
         """Note the change."""
         super().__init__("a refused change came into force", change)
@@ -211,6 +249,8 @@
         module: the name of the module.
     """
 
+    code = "SIM-019"
+
     def __init__(self, module: str) -> None:
         """Note the name of the module."""
         super().__init__(f"{module} is no module of the standard library")
--- a/roselink/status.py
+++ b/roselink/status.py
@@ -84,6 +84,8 @@
         reason: what went wrong.
     """
 
+    code = "STA-001"
+
     def __init__(self, address: str, path: str, reason: str) -> None:
         """Make the message from the page and the reason."""
         super().__init__(f"{address}{path}: {reason}")
--- a/tests/controller/test_api.py
+++ b/tests/controller/test_api.py
@@ -126,15 +126,19 @@
     ("base", "outcome", "status", "said"),
     [
         (5, ChangeCommitted(9), 200, {"generation": 7, "sequence": 9}),
-        (5, Conflict(6), 412, {"error": "conflict", "current": 6}),
-        (5, StaleGeneration(8), 412, {"error": "conflict", "current": 8}),
+        (5, Conflict(6), 412, {"error": "conflict", "code": "API-002", "current": 6}),
+        (5, StaleGeneration(8), 412, {"error": "conflict", "code": "API-002", "current": 8}),
         (
             8,
             StaleGeneration(8),
             400,
-            {"error": "invalid", "faults": [{"path": "generation", "reason": "must be above 8"}]},
+            {
+                "error": "invalid",
+                "code": "API-001",
+                "faults": [{"path": "generation", "reason": "must be above 8"}],
+            },
         ),
-        (5, OutcomeUnknown(), 503, {"error": "unsettled"}),
+        (5, OutcomeUnknown(), 503, {"error": "unsettled", "code": "API-006"}),
     ],
 )
 def test_each_outcome_has_its_answer(
--- a/tests/model/test_settings_file.py
+++ b/tests/model/test_settings_file.py
@@ -110,4 +110,4 @@
     path.write_text(json.dumps(document() | {"ip": None}))
     monkeypatch.setenv(ENVIRONMENT_VARIABLE, str(path))
     assert main([command]) == EXIT_BAD_SETTINGS
-    assert capsys.readouterr().err == "settings: ip: missing\n"
+    assert capsys.readouterr().err == "settings: ip: missing [MDL-001]\n"
--- a/tests/mutations/controller.py
+++ b/tests/mutations/controller.py
@@ -50,17 +50,17 @@
         ),
         (
             "unclear is told as refused",
-            'return _unavailable(request, "unsettled")',
+            "return _unavailable(request, ApiError.UNSETTLED)",
             "return _conflict(request, 0)",
         ),
         (
             "unconfirmed is shown as none",
-            '            return _unavailable(request, "unconfirmed")',
-            '            return _json_response(request, 404, {"error": "none"})',
+            "            return _unavailable(request, ApiError.UNCONFIRMED)",
+            "            return _error(request, ApiError.NO_CONFIGURATION)",
         ),
         (
             "orders are taken while it ends",
-            '            return _unavailable(request, "stopping")',
+            '            return _unavailable(request, ApiError.STOPPING)',
             "            pass",
         ),
     ),
