--- a/tests/coordination/test_chain.py
+++ b/tests/coordination/test_chain.py
@@ -217,6 +217,26 @@
     assert harness.take_effects() == []
 
 
+def test_roles_in_an_active_chain_and_before() -> None:
+    """Reads that the head answered would show what is not committed."""
+    head, tail = Harness(A), Harness(C)
+    head.member.on_ack(Ack(B, 3, 1))
+    tail.member.on_sync(sync(B, 3, STATE), 0.0)
+    assert (tail.member.is_last, tail.member.is_tail) == (True, False)
+    tail.complete_save()
+    members = [head.member, middle().member, tail.member]
+    assert all(member.active for member in members)
+    assert [member.is_head for member in members] == [True, False, False]
+    assert [member.is_last for member in members] == [False, False, True]
+    assert [member.is_tail for member in members] == [False, False, True]
+
+
+@pytest.mark.parametrize("voter", [A, B, C, Voter("d", 0)])
+def test_a_process_outside_the_chain_has_no_role(voter: Voter) -> None:
+    member = Harness(voter, session=8).member
+    assert (member.is_head, member.is_last, member.is_tail) == (False, False, False)
+
+
 def test_a_refused_save_is_retried_and_nothing_is_sent_before() -> None:
     harness = middle()
     harness.member.on_write(WRITE)
--- a/tests/mutations/controller.py
+++ b/tests/mutations/controller.py
@@ -60,7 +60,7 @@
         ),
         (
             "orders are taken while it ends",
-            '            return _unavailable(request, ApiError.STOPPING)',
+            "            return _unavailable(request, ApiError.STOPPING)",
             "            pass",
         ),
     ),
--- a/tests/mutations/coordination.py
+++ b/tests/mutations/coordination.py
@@ -169,6 +169,21 @@
             "message.epoch) or not self.synced:\n            return\n        if message.seq",
             "message.epoch):\n            return\n        if message.seq",
         ),
+        (
+            "every active member is the tail",
+            "return self.participating and self.active and self._successor is None",
+            "return self.participating and self.active",
+        ),
+        (
+            "every member queues reads",
+            "return self.participating and self._successor is None",
+            "return self.participating",
+        ),
+        (
+            "a member outside the chain queues reads",
+            "return self.participating and self._successor is None",
+            "return self._successor is None",
+        ),
         (
             "an acknowledgement before the state is forwarded counts",
             "        if not self._epoch_started:\n            raise",
