--- a/roselink/simulation/faults.py
+++ b/roselink/simulation/faults.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from roselink.simulation.gateways import REVOKE_S
-from roselink.simulation.machine import SAVE_LATENCY_S
+from roselink.simulation.machine import QUOTA_PERIOD_S, SAVE_LATENCY_S, ProcessorQuota
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,6 +20,8 @@
 RECOVERY_S = 4.0
 # The latency of a save on a slow disk, in seconds.
 SLOW_SAVE_S = 0.25
+# The bounds of a drawn quota, as fractions of a core.
+QUOTA_SHARES = (0.08, 0.6)
 # After a loss of all processes each returns within so long, in seconds.
 RESTART_SPREAD_S = 1.0
 
@@ -90,6 +92,14 @@
     machine.disk.latency_s = SAVE_LATENCY_S
 
 
+def limit_processors(cluster: Cluster) -> None:
+    """Give each machine a quota of its processor, as drawn; periods are not aligned."""
+    draw = cluster.random
+    for machine in cluster.machines.values():
+        busy_s = QUOTA_PERIOD_S * draw.uniform(*QUOTA_SHARES)
+        machine.quota = ProcessorQuota(busy_s, draw.uniform(0.0, QUOTA_PERIOD_S))
+
+
 def inject_and_repair(
     cluster: Cluster, victim: Machine, fault: Fault, duration_s: float, successor: str
 ) -> None:
--- a/roselink/simulation/machine.py
+++ b/roselink/simulation/machine.py
@@ -48,6 +48,9 @@
 # Operations on the disk of one save, about; a killed process ends at one of them.
 STEPS_PER_SAVE = 14
 FORWARD_TIMEOUT_S = 0.4
+# In each period of so many seconds a quota's share of the processor can be spent.
+QUOTA_PERIOD_S = 0.1
+LEAST_WAIT_S = 1e-6
 # Between two readings of the platform's list of hosts, and until the list is there, in seconds.
 LIST_INTERVAL_S = 0.3
 LIST_LATENCY_S = 0.02
@@ -81,6 +84,27 @@
         self.files.full = full
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessorQuota:
+    """A share of a core as a quota: full speed until it is spent, then nothing for a while.
+
+    Attributes:
+        busy_s: how long the process runs in each period, in seconds.
+        phase_s: when its periods begin, in seconds.
+    """
+
+    busy_s: float
+    phase_s: float
+
+    def wait_s(self, now: float) -> float:
+        """How long the process stands still from now on; 0 while it runs."""
+        into_period_s = (now - self.phase_s) % QUOTA_PERIOD_S
+        if into_period_s < self.busy_s:
+            return 0.0
+        # A rest that rounding leaves of a period must not be waited for without end.
+        return max(QUOTA_PERIOD_S - into_period_s, LEAST_WAIT_S)
+
+
 class Machine:
     """One core machine, its disk and at most one process.
 
@@ -91,6 +115,7 @@
             another number is dropped.
         frozen: whether the process stands still.
         deferred: the inputs that a frozen process finds when it resumes.
+        quota: the processor's quota; None if the process runs all the time.
     """
 
     def __init__(self, cluster: Cluster, address: str) -> None:
@@ -102,6 +127,7 @@
         self.process_number = 0
         self.frozen = False
         self.deferred: list[Callable[[], None]] = []
+        self.quota: ProcessorQuota | None = None
         self.pending_submits: dict[int, Callable[[SubmitOutcome], None]] = {}
         self.pending_reads: dict[int, Callable[[Confirmation | None], None]] = {}
         self.storage = Storage(FOLDER, self.disk.files)
@@ -194,8 +220,16 @@
         if self.frozen:
             self.deferred.append(lambda: self.run(process_number, step))
             return
+        wait_s = self._stands_still_s()
+        if wait_s:
+            self.cluster.after(wait_s, lambda: self.run(process_number, step))
+            return
         self.perform(step(self.member))
 
+    def _stands_still_s(self) -> float:
+        """How long the process stands still from now on because its quota is spent."""
+        return 0.0 if self.quota is None else self.quota.wait_s(self.cluster.now)
+
     # --- calls
 
     def submit(self, change: ConfigurationChange, done: Callable[[SubmitOutcome], None]) -> None:
@@ -349,6 +383,10 @@
     def _tick(self, process_number: int) -> None:
         if process_number != self.process_number or self.member is None:
             return
+        wait_s = self._stands_still_s()
+        if wait_s:
+            self.cluster.after(wait_s, lambda: self._tick(process_number))
+            return
         if not self.frozen:
             self.perform(self.member.tick(self.cluster.now))
         self.cluster.after(TICK_S, lambda: self._tick(process_number))
--- a/roselink/simulation/scenarios.py
+++ b/roselink/simulation/scenarios.py
@@ -31,6 +31,7 @@
     inject_and_repair,
     inject_fault,
     inject_gateway_fault,
+    limit_processors,
     lose_disks_after_commit,
     partition_in_halves,
     repair,
@@ -41,6 +42,8 @@
 from roselink.simulation.history import CallResult, HistoryChecker, Reading
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from roselink.coordination.effects import Confirmation
     from roselink.simulation.machine import Machine
 
@@ -205,11 +208,22 @@
         network.loss = LOSS
         network.duplication = DUPLICATION
         network.lateness = LATENESS
+    return _episodes_day(cluster, episodes)
+
+
+def processor_quota_day(seed: int, machines: int, tolerated: int) -> ScenarioResult:
+    """Inject the same faults while each machine's processor has a quota."""
+    cluster = Cluster(seed, machines, tolerated)
+    limit_processors(cluster)
+    return _episodes_day(cluster, episodes=6)
+
+
+def _episodes_day(cluster: Cluster, episodes: int) -> ScenarioResult:
     scenario = Scenario(cluster)
     cluster.run(START_S)
     for episode in range(episodes):
         _episode(scenario, episode)
-    network.loss = 0.0
+    cluster.network.loss = 0.0
     return scenario.finish()
 
 
@@ -336,20 +350,24 @@
     return scenario.finish()
 
 
+# By the remainder of the seed by 16; the other days are of faults one after the other.
+_DAYS: dict[int, Callable[[int, int, int], ScenarioResult]] = {
+    1: lambda seed, machines, _: long_partition_day(seed, machines),
+    3: lambda seed, machines, _: rolling_repair_day(seed, machines),
+    5: split_brain_day,
+    7: rot_day,
+    9: processor_quota_day,
+}
+
+
 def day_of_seed(seed: int) -> ScenarioResult:
     """Run a day whose kind, size and links follow from its seed."""
     machines = 3 + seed % 3
     tolerated = 2 if machines == 5 else 1
     if seed % 4 == 0:
         return storm_day(seed, machines, 1)
-    if seed % 16 == 1:
-        return long_partition_day(seed, machines)
-    if seed % 16 == 3:
-        return rolling_repair_day(seed, machines)
-    if seed % 16 == 5:
-        return split_brain_day(seed, machines, tolerated)
-    if seed % 16 == 7:
-        return rot_day(seed, machines, tolerated)
+    if (day := _DAYS.get(seed % 16)) is not None:
+        return day(seed, machines, tolerated)
     return fault_episodes_day(seed, machines, tolerated, lossy=bool(seed % 2))
 
 
--- a/tests/simulation/test_scenarios.py
+++ b/tests/simulation/test_scenarios.py
@@ -8,14 +8,16 @@
 
 from roselink.coordination.effects import ChangeCommitted, SubmitOutcome
 from roselink.coordination.state import digest_of
+from roselink.coordination.views import majority
 from roselink.protocol.chain import ConfigurationChange
 from roselink.simulation.cluster import Cluster
-from roselink.simulation.faults import Fault, inject_fault, repair
+from roselink.simulation.faults import Fault, inject_fault, limit_processors, repair
 from roselink.simulation.scenarios import (
     day_of_seed,
     fault_episodes_day,
     in_chain,
     long_partition_day,
+    processor_quota_day,
     read,
     rolling_repair_day,
     rot_day,
@@ -244,6 +246,49 @@
     split_brain_day(seed, 3 + seed % 3, 2 if seed % 3 == 2 else 1)
 
 
+@pytest.mark.parametrize("seed", range(900, 906))
+def test_faults_while_processors_have_quotas(seed: int) -> None:
+    processor_quota_day(seed, 3 + seed % 3, 2 if seed % 3 == 2 else 1)
+
+
+@pytest.mark.parametrize(("machines", "tolerated"), [(3, 1), (5, 2)])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_quota_alone_has_nobody_suspected(seed: int, machines: int, tolerated: int) -> None:
+    """A share of 0.08 stands still for up to 0.092 s of each tenth of a second."""
+    cluster = Cluster(seed, machines, tolerated)
+    limit_processors(cluster)
+    cluster.run(6.0)
+    tail = cluster.active_tail()
+    assert tail is not None
+    assert tail.member is not None
+    view = tail.member.view
+    cluster.run(20.0)
+    assert cluster.active_tail() is tail
+    assert tail.member.view == view
+
+
+@pytest.mark.parametrize("machines", [6, 9])
+@pytest.mark.parametrize("seed", range(10))
+def test_a_core_that_starts_bears_two_losses_soon(seed: int, machines: int) -> None:
+    """Well within the seconds for which the rules count a machine that starts as lost."""
+    cluster = Cluster(seed, machines, 2, 3)
+
+    def bears_two() -> bool:
+        tail = cluster.active_tail()
+        if tail is None or tail.member is None or tail.member.view is None:
+            return False
+        view = tail.member.view
+        intact = [
+            replica
+            for replica in view.chain
+            if (member := cluster.machines[replica.voter.address].member) is not None
+            and member.chain.durable_epoch >= replica.since
+        ]
+        return len(view.voters) - 2 >= majority(view) and len(intact) >= 3
+
+    assert cluster.run_until(bears_two, 1.3)
+
+
 @pytest.mark.parametrize("seed", range(800, 803))
 def test_records_that_rot_on_disks(seed: int) -> None:
     rot_day(seed, 3 + seed % 3, 2 if seed % 3 == 2 else 1)
