--- a/tests/mutations/controller.py
+++ b/tests/mutations/controller.py
@@ -25,12 +25,12 @@
         ),
         ("the folder is not synced", "        self.files.sync(self.folder)\n", ""),
         (
-            "a torn record is taken",
+            "a torn record is loaded",
             " if checksum == _checksum(generation, record, payload) else None",
             "",
         ),
         (
-            "half of a disk is taken",
+            "one record without the other is loaded",
             "isinstance(acceptor, AcceptorState) and isinstance(state, StoredState)",
             "isinstance(acceptor, AcceptorState)",
         ),
@@ -44,22 +44,22 @@
         "controller/api.py",
         API,
         (
-            "an order's base is not part of its name",
+            "a change's base is not part of its digest",
             "digest_of(base, body))",
             "digest_of(0, body))",
         ),
         (
-            "unclear is told as refused",
+            "an unknown outcome is reported as a conflict",
             "return _unavailable(request, ApiError.UNSETTLED)",
             "return _conflict(request, 0)",
         ),
         (
-            "unconfirmed is shown as none",
+            "an unconfirmed read is reported as no configuration",
             "            return _unavailable(request, ApiError.UNCONFIRMED)",
             "            return _error(request, ApiError.NO_CONFIGURATION)",
         ),
         (
-            "orders are taken while it ends",
+            "changes are accepted while the process stops",
             "            return _unavailable(request, ApiError.STOPPING)",
             "            pass",
         ),
--- a/tests/mutations/coordination.py
+++ b/tests/mutations/coordination.py
@@ -86,11 +86,15 @@
         ("votes on any epoch", " and epoch == self.view.epoch + 1", ""),
         ("whoever is no voter votes", "self.voter in self.view.voters", "True"),
         (
-            "an accepted view is not told",
+            "an accepted view is not reported to a read round",
             "self.is_voter and self.accepted is None",
             "self.is_voter",
         ),
-        ("a newer view is not told", "self.view.epoch == epoch\n", "self.view.epoch >= 0\n"),
+        (
+            "a newer view is not reported to a read round",
+            "self.view.epoch == epoch\n",
+            "self.view.epoch >= 0\n",
+        ),
         (
             "an older view is followed",
             "view.epoch <= self.view.epoch",
@@ -119,7 +123,7 @@
             "if not self._concerns(reply):",
         ),
         (
-            "strangers' answers count",
+            "replies of non-voters count",
             "return same and reply.sender in self.view.voters",
             "return same",
         ),
@@ -199,12 +203,12 @@
         "coordination/reads.py",
         COORDINATION,
         (
-            "one answer confirms",
+            "one reply confirms",
             "len(self._confirmed_by) < majority(view)",
             "len(self._confirmed_by) < 1",
         ),
         ("a no confirms", "if not reply.is_newest or reply.sender", "if reply.sender"),
-        ("answers of an older round confirm", "            or reply.round != self._round\n", ""),
+        ("replies to an older round confirm", "            or reply.round != self._round\n", ""),
         ("whoever is no voter confirms", " or reply.sender not in view.voters", ""),
         (
             "a round of the former view holds up the reads of the next",
@@ -226,16 +230,16 @@
         "coordination/sequencer.py",
         COORDINATION,
         (
-            "an order is answered before it is committed",
+            "a change is acknowledged before it is committed",
             "if sequence <= self.chain.committed:",
             "if True:",
         ),
         (
-            "waiting answers leave too early",
+            "pending replies leave before their sequence is committed",
             "if waiting.sequence <= committed]",
             "if True]",
         ),
-        ("answers outlive the view", "        self._replies = []\n", ""),
+        ("pending replies outlive the view", "        self._replies = []\n", ""),
     ),
     *mutations_of(
         "coordination/pending_calls.py",
@@ -255,20 +259,24 @@
         "coordination/state.py",
         COORDINATION,
         ("a digest is found across entries", "if offset % _ENTRY.size == 0:", "if True:"),
-        ("an order that comes again is judged anew", "    if entry is not None:", "    if False:"),
         (
-            "a version is taken twice",
+            "a change that is sent again is validated anew",
+            "    if entry is not None:",
+            "    if False:",
+        ),
+        (
+            "a generation is accepted twice",
             "change.generation <= state.generation",
             "change.generation < state.generation",
         ),
-        ("an order on an older version is taken", "change.base < state.generation", "False"),
+        ("a change on an older generation is accepted", "change.base < state.generation", "False"),
         (
-            "a refusal is not noted",
+            "a refusal is not recorded",
             "return Validation(ValidationKind.REFUSE_PERMANENTLY, state.generation)",
             "return Validation(ValidationKind.CONFLICT, state.generation)",
         ),
-        ("a noted refusal is taken", "        if generation:\n", "        if True:\n"),
-        ("an order without a document is taken", "    if not change.document:", "    if False:"),
+        ("a recorded refusal is accepted", "        if generation:\n", "        if True:\n"),
+        ("a change without a document is accepted", "    if not change.document:", "    if False:"),
     ),
     *mutations_of(
         "coordination/member.py",
@@ -284,7 +292,7 @@
             "        self._messages.handle(message, now)",
         ),
         (
-            "a disk that holds half is taken",
+            "a disk with one of the two records is started from",
             "start.acceptor_state is None or start.state is None\n",
             "start.acceptor_state is None\n",
         ),
@@ -293,7 +301,7 @@
         "coordination/messages.py",
         COORDINATION,
         (
-            "an order for another epoch is taken",
+            "a change for another epoch is accepted",
             "message.epoch == self.acceptor.view.epoch\n            and ",
             "",
         ),
--- a/tests/mutations/dataplane.py
+++ b/tests/mutations/dataplane.py
@@ -61,7 +61,7 @@
         ),
         ("streams resume where ids tell nothing", " and self.progress.resumable", ""),
         (
-            "two answers go on",
+            "two responses are relayed",
             "return exchange.relayed_attempt in (None, self) or ("
             "exchange.awaits_resume and self.resumed)",
             "return True",
@@ -107,7 +107,7 @@
             "        elif True:\n",
         ),
         (
-            "an answer that has begun is ended as whole",
+            "a response that has begun is ended as whole",
             "            exchange.client.abort_response()\n",
             "            exchange.client.send_end()\n",
         ),
@@ -117,12 +117,12 @@
             "if exchange.closed:",
         ),
         (
-            "taken when its time is over",
+            "an expired request is accepted",
             "        if exchange.give_up_at <= self._loop.time():\n            self._refuse(",
             "        if False:\n            self._refuse(",
         ),
         (
-            "taken in a drain without its end",
+            "a request is accepted in a drain without its deadline",
             "        if self._drain_ends_at is not None:\n            exchange.expires_at =",
             "        if False:\n            exchange.expires_at =",
         ),
@@ -159,7 +159,7 @@
         "dataplane/admission.py",
         DATAPLANE,
         (
-            "an unknown route is told without being sure",
+            "an unknown route is refused without a confirmed configuration",
             "return Refusal(404) if keys_usable else NOT_CONFIRMED",
             "return Refusal(404)",
         ),
@@ -178,13 +178,13 @@
         "dataplane/fleet_host_connection.py",
         DATAPLANE,
         (
-            "an answer to another request is taken",
+            "a response to another request is accepted",
             "if response_id != attempt.request_id and not rejected:",
             "if not response_id and not rejected:",
         ),
         ("a long request counts as never sent", "if self._sent_bytes > PROVEN_LIMIT:", "if False:"),
         (
-            "a connection is kept behind a surplus answer",
+            "a connection is kept behind a surplus response",
             "should_keep_alive() and not self._surplus_count",
             "should_keep_alive()",
         ),
@@ -194,22 +194,22 @@
             "return False",
         ),
         (
-            "a refusal without its promise is taken for one",
+            "a rejection without X-Not-Executed counts as one",
             '(status in NOT_RUN and b"x-not-executed" in headers)',
             "status in NOT_RUN",
         ),
         (
-            "a success without its stamp is taken",
+            "a success without its signature is accepted",
             'Outcome.SUCCESS if b"x-response-signature" in headers else Outcome.ERROR',
             "Outcome.SUCCESS",
         ),
         (
-            "bytes that nobody asked for are kept",
+            "unrequested bytes are kept",
             "            self.drop()  # bytes that belong to no request\n",
             "",
         ),
         (
-            "surplus answers without end",
+            "surplus responses without a limit",
             "if not response_id or self._surplus_count > SURPLUS_LIMIT:",
             "if not response_id:",
         ),
@@ -277,7 +277,7 @@
         "dataplane/client_connection.py",
         DATAPLANE,
         (
-            "a cut answer ends in order",
+            "a truncated response ends as if it were whole",
             "        if self._transport is not None and not self._chunked:\n            sock",
             "        if False and self._transport is not None:\n            sock",
         ),
--- a/tests/mutations/distribution.py
+++ b/tests/mutations/distribution.py
@@ -10,14 +10,14 @@
     *mutations_of(
         "distribution/pull_state_machine.py",
         PULLER,
-        ("a late reply of an earlier call is taken", " or self._pending.call != call", ""),
+        ("a late reply to an earlier pull is applied", " or self._pending.call != call", ""),
         (
-            "an older configuration is taken",
+            "an older configuration is applied",
             "newest.configuration > current.configuration and",
             "newest.configuration != current.configuration and",
         ),
         (
-            "older hosts are taken",
+            "an older host list is applied",
             "newest.hosts > current.hosts and",
             "newest.hosts != current.hosts and",
         ),
@@ -27,7 +27,7 @@
             "newest.roster != current.roster and",
         ),
         (
-            "an unconfirmed reply is taken",
+            "an unconfirmed reply is applied",
             "if reply is None or not reply.confirmed:",
             "if reply is None:",
         ),
@@ -51,7 +51,7 @@
         "distribution/host_changes.py",
         PULLER,
         (
-            "changes from another version are taken",
+            "differences from another version are applied",
             "if changes.base == hosts_version else None",
             "",
         ),
--- a/tests/mutations/http.py
+++ b/tests/mutations/http.py
@@ -20,7 +20,7 @@
             "            if connection.stale():\n",
         ),
         (
-            "bytes right behind an answer meet the next",
+            "bytes right behind a response meet the next request",
             "        reusable_before = attempt.started_at - REUSE_DELAY_S\n",
             "        reusable_before = attempt.started_at\n",
         ),
--- a/tests/mutations/protocol.py
+++ b/tests/mutations/protocol.py
@@ -11,7 +11,7 @@
         "protocol/peer_pool.py",
         PEERS,
         (
-            "an answer after its time-out is taken",
+            "a reply after its time-out is delivered",
             "            on_reply = connection.pending_calls.pop(call, None)\n",
             "            on_reply = connection.pending_calls.get(call)\n",
         ),
@@ -19,6 +19,6 @@
     *mutations_of(
         "protocol/framing.py",
         PEERS,
-        ("a frame that is spoilt is taken", "if zlib.crc32(payload) != checksum:", "if False:"),
+        ("a corrupt frame is accepted", "if zlib.crc32(payload) != checksum:", "if False:"),
     ),
 )
--- a/tests/mutations/routing.py
+++ b/tests/mutations/routing.py
@@ -22,7 +22,7 @@
         ROUTING,
         ("attempts without end", "sent < self.policy.max_attempts and", ""),
         (
-            "half an answer is begun again",
+            "a response that has begun is started again",
             "self.policy.repeatable and (self.policy.streaming or not self.progressed)",
             "self.policy.repeatable",
         ),
