--- a/roselink/status.py
+++ b/roselink/status.py
@@ -40,7 +40,7 @@
     roster: int
 
 
-class DiskStatus(TypedDict):
+class DiskFields(TypedDict):
     """The disk of the controller that was asked; `checked_s` is None before the first check."""
 
     healthy: bool
@@ -68,7 +68,7 @@
     confirmed: bool
     generation: int | None
     versions: Versions
-    disk: NotRequired[DiskStatus]
+    disk: NotRequired[DiskFields]
     gateways: list[GatewayStatus]
     # Added here: the operator address that `gateways` are from, and the owner of each budget.
     gateways_from: str | None
@@ -188,7 +188,7 @@
     return lines
 
 
-def _disk(disk: DiskStatus) -> str:
+def _disk(disk: DiskFields) -> str:
     condition = "healthy" if disk["healthy"] else "NOT HEALTHY"
     if disk["checked_s"] is None:
         return f"{condition}, not read back yet"
