--- a/roselink/simulation/scenarios.py
+++ b/roselink/simulation/scenarios.py
@@ -39,7 +39,8 @@
     restart_all,
 )
 from roselink.simulation.gateways import REVOKE_S, Gateway
-from roselink.simulation.history import CallResult, HistoryChecker, Reading
+from roselink.simulation.history import CallResult, HistoryChecker, Reading, Violation
+from roselink.simulation.linearizability import is_linearizable, operations_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -132,6 +133,8 @@
         violations = tuple(HistoryChecker(history, REVOKE_S).violations())
         if violations:
             raise UnexplainedHistoryError(violations)
+        if not is_linearizable(operations_of(history)):
+            raise UnexplainedHistoryError((Violation("not linearizable", "no order of calls"),))
         if any(gateway.lists_went_back for gateway in self.gateways):
             raise HostListWentBackError
         confirmed = sum(call.result is CallResult.CONFIRMED for call in history.calls)
