--- a/tests/distribution/test_pull_state_machine.py
+++ b/tests/distribution/test_pull_state_machine.py
@@ -345,3 +345,37 @@
                 newest = current
                 if pulls.may_use_keys(now, 5.0, strict=True):
                     assert all(at > now - 5.0 for at, version in acknowledged if version > current)
+
+
+def test_a_reply_that_names_a_version_and_lacks_it_counts_as_failed() -> None:
+    pulls = machine()
+    first = send(pulls, 1.0)
+    effects = pulls.reply_received(first.call, reply(5, configuration=None), 1.002)
+    assert not any(isinstance(effect, SnapshotConfirmed) for effect in effects)
+    assert send(pulls, pulls.due_at).address != first.address
+
+
+@pytest.mark.parametrize("malformed", ["", "10.7.0.1", ":7500", "10.7.0.1:", "10.7.0.1:x", "a:٣"])
+def test_a_malformed_address_of_a_member_is_left_out(malformed: str) -> None:
+    pulls = machine()
+    exchange(pulls, 1.0, reply(1, 1, 1, cores=(malformed, *CORES)))
+    asked = set()
+    for _ in range(12):
+        call = send(pulls, pulls.due_at)
+        asked.add(f"{call.address[0]}:{call.address[1]}")
+        pulls.reply_received(call.call, None, pulls.due_at + 0.5)
+    assert set(CORES) <= asked
+    assert all(address.startswith("10.") for address in asked)
+    assert malformed not in asked
+
+
+def test_a_reply_without_members_keeps_those_that_are_known() -> None:
+    pulls = machine()
+    exchange(pulls, 1.0, reply(1, 1, 1, cores=("10.9.0.9:7500",)))
+    exchange(pulls, pulls.due_at, reply(1, 1, 1, cores=()))
+    asked = set()
+    for _ in range(12):
+        call = send(pulls, pulls.due_at)
+        asked.add(call.address)
+        pulls.reply_received(call.call, None, pulls.due_at + 0.5)
+    assert ("10.9.0.9", 7500) in asked
