Coordination: a late reply begins no read round before the tail has its view's state

Trace: in view 24 the chain 3 -> 5 commits sequence 17. View 25 is 3 -> 1, and 1, which was the tail of view 23, has 16 and not yet the Sync. Reads wait at it; a late ConfirmReply of its former rounds comes, and _on_confirm_reply began a round for whatever waited, whether the chain was active or not. A majority confirmed it for view 25, and seven reads showed 16. Change: replies to rounds count at the tail of an active view only.

--- a/roselink/coordination/messages.py
+++ b/roselink/coordination/messages.py
@@ -132,8 +132,9 @@
         self.emit(Send(message.sender.address, reply))
 
     def _on_confirm_reply(self, message: ConfirmReply, now: float) -> None:
-        if self.acceptor.view is None:
-            # and no round is in flight: only an active tail begins one, and a new view drops it
+        if self.acceptor.view is None or not self.chain.is_tail:
+            # No round is in flight: only the tail of an active view begins one, and a new view
+            # drops it. A late reply must not begin one before the tail has the view's state.
             return
         state = self.chain.durable
         for read in self.reads.on_reply(message):
--- a/tests/coordination/test_member.py
+++ b/tests/coordination/test_member.py
@@ -37,6 +37,7 @@
     Heartbeat,
     Prepare,
     Promise,
+    ReadRequest,
     StoredState,
     SubmitRequest,
     View,
@@ -325,3 +326,16 @@
         if ended is not None:
             disk.save_ended(ended, succeeded=succeeded)
     assert disk.check(now) is healthy
+
+
+def test_a_late_reply_of_a_former_round_begins_none_before_the_tail_has_the_state() -> None:
+    """Else a tail shows the state of before, confirmed: seed 20348 of the simulated days."""
+    harness = Harness(STORED)
+    view = View(2, VIEW.voters, tuple(ChainReplica(voter, 1, 40) for voter in (A, B)))
+    harness.deliver(Decided(A, view))
+    assert harness.member.chain.is_last
+    assert not harness.member.chain.active
+    assert harness.deliver(ReadRequest(C, 7, -1)) == []
+    assert harness.deliver(ConfirmReply(A, 1, 3, is_newest=True)) == []
+    for voter in (A, C):
+        assert harness.deliver(ConfirmReply(voter, 2, 1, is_newest=True)) == []
--- a/tests/mutations/coordination.py
+++ b/tests/mutations/coordination.py
@@ -305,6 +305,11 @@
             "message.epoch == self.acceptor.view.epoch\n            and ",
             "",
         ),
+        (
+            "a late reply begins a round before the tail has the state",
+            "if self.acceptor.view is None or not self.chain.is_tail:",
+            "if self.acceptor.view is None:",
+        ),
         (
             "a sync of an unknown view is dropped",
             "        self.follow(message.view, now)\n        if self.chain.on_sync",
--- a/tests/simulation/test_scenarios.py
+++ b/tests/simulation/test_scenarios.py
@@ -231,6 +231,11 @@
     storm_day(seed, 3 + seed % 3, 1)
 
 
+def test_a_tail_that_gets_late_replies_shows_nothing_old() -> None:
+    """A storm in which a tail confirmed reads before it had its view's state."""
+    day_of_seed(20348)
+
+
 @pytest.mark.parametrize("seed", range(500, 508))
 def test_a_member_cut_off_for_twenty_seconds(seed: int) -> None:
     long_partition_day(seed, 3 + seed % 2)
