Coordination: a state that a disk refused is saved again also when another save brought the disk back

Trace: the tail of the newest view has received the state and not saved it, with a healthy, idle disk. Its save was refused by a full disk; the save of its vote, queued behind it, went through once there was room, and made the disk healthy; _retry_disk, which alone repeats the state's save, looks at unhealthy disks only. Change: while the disk is healthy and idle a tick saves a state that is not durable.

--- a/roselink/coordination/member.py
+++ b/roselink/coordination/member.py
@@ -321,11 +321,14 @@
 
     def _retry_disk(self, now: float) -> None:
         """Try a disk that refused, or was too slow, with a save of the acceptor state."""
-        if (
-            self.disk.healthy
-            or not self.disk.idle
-            or now - self._disk_tried_at < DISK_RETRY_INTERVAL_S
-        ):
+        if not self.disk.idle:
+            return
+        if self.disk.healthy:
+            if self._is_on_disk:
+                # A save of the state was refused, and another one brought the disk back.
+                self.chain.retry_save()
+            return
+        if now - self._disk_tried_at < DISK_RETRY_INTERVAL_S:
             return
         self._disk_tried_at = now
         self.disk.refusing = False
--- a/tests/coordination/test_member.py
+++ b/tests/coordination/test_member.py
@@ -40,6 +40,7 @@
     ReadRequest,
     StoredState,
     SubmitRequest,
+    Sync,
     View,
     Voter,
 )
@@ -339,3 +340,20 @@
     assert harness.deliver(ConfirmReply(A, 1, 3, is_newest=True)) == []
     for voter in (A, C):
         assert harness.deliver(ConfirmReply(voter, 2, 1, is_newest=True)) == []
+
+
+def test_a_refused_state_is_saved_again_though_another_save_brought_the_disk_back() -> None:
+    """Else the chain never becomes active: seed 40040 of the simulated days."""
+    harness = Harness(STORED)
+    view = View(2, VIEW.voters, tuple(ChainReplica(voter, 1, 40) for voter in (A, B)))
+    harness.deliver(Sync(A, view, STATE.state))
+    saves = [effect for effect in harness.effects if isinstance(effect, Persist)]
+    assert [save.store for save in saves] == [Store.STATE, Store.ACCEPTOR]
+    harness.effects = harness.member.persist_failed(Store.STATE, 0.01)
+    harness.effects += harness.member.persisted(Store.ACCEPTOR, 0.02)
+    assert harness.member.disk_is_healthy
+    harness.effects += harness.member.tick(0.05)
+    again = [effect for effect in harness.effects if isinstance(effect, Persist)]
+    assert [save.payload for save in again] == [saves[0].payload]
+    harness.member.persisted(Store.STATE, 0.06)
+    assert harness.member.chain.is_tail
--- a/tests/mutations/coordination.py
+++ b/tests/mutations/coordination.py
@@ -291,6 +291,11 @@
             "        if self._is_on_disk:\n            self._messages.handle(message, now)",
             "        self._messages.handle(message, now)",
         ),
+        (
+            "a refused state is not saved again once the disk is healthy",
+            "                self.chain.retry_save()\n            return\n",
+            "                pass\n            return\n",
+        ),
         (
             "a disk with one of the two records is started from",
             "start.acceptor_state is None or start.state is None\n",
--- a/tests/simulation/test_scenarios.py
+++ b/tests/simulation/test_scenarios.py
@@ -236,6 +236,11 @@
     day_of_seed(20348)
 
 
+def test_a_state_that_a_full_disk_refused_is_saved_once_there_is_room() -> None:
+    """A storm after which the chain waited for ever for a save that nobody repeated."""
+    day_of_seed(40040)
+
+
 @pytest.mark.parametrize("seed", range(500, 508))
 def test_a_member_cut_off_for_twenty_seconds(seed: int) -> None:
     long_partition_day(seed, 3 + seed % 2)
