--- a/roselink/controller/disk_recovery.py
+++ b/roselink/controller/disk_recovery.py
@@ -20,7 +20,7 @@
 from typing import TYPE_CHECKING
 
 from roselink.controller.disk_inspection import DiskContents, document_digest, name_of
-from roselink.controller.storage import Storage, record_number
+from roselink.controller.storage import LocalFiles, Storage, record_number
 from roselink.coordination.effects import Store
 from roselink.coordination.views import majority, replica_of
 from roselink.protocol.chain import AcceptorState, ChainReplica, StoredState, View, Voter
@@ -249,9 +249,6 @@
         path = os.path.join(folder, name)
         if os.path.isfile(path):
             os.replace(path, os.path.join(aside, name))
+    files = LocalFiles()
     for synced in (aside, folder):
-        descriptor = os.open(synced, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        files.sync(synced)
