--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -111,11 +111,11 @@
                     late = b""
                 answer = self._rejection(head)
                 if answer is None:
-                    await self._run(head, writer, arrived_at)
+                    answer = await self._run(head, writer, arrived_at)
                 else:
                     writer.write(answer)
-                    if self.copies is not None and self.copies():
-                        late = answer
+                if self.copies is not None and self.copies():
+                    late = answer
                 self.answers += 1
                 await writer.drain()
         except (*BROKEN, asyncio.CancelledError):
@@ -142,16 +142,16 @@
         headers = {"X-Not-Executed": "1", "X-Request-Id": request_id or ""}
         return message(f"HTTP/1.1 {status}", headers)
 
-    async def _run(self, head: Head, writer: asyncio.StreamWriter, arrived_at: float) -> None:
+    async def _run(self, head: Head, writer: asyncio.StreamWriter, arrived_at: float) -> bytes:
         """Work on a request; a closed connection is noticed at the next write."""
         self.in_flight += 1
         try:
             async with self._slots:
-                await self._work(head, writer, arrived_at)
+                return await self._work(head, writer, arrived_at)
         finally:
             self.in_flight -= 1
 
-    async def _work(self, head: Head, writer: asyncio.StreamWriter, arrived_at: float) -> None:
+    async def _work(self, head: Head, writer: asyncio.StreamWriter, arrived_at: float) -> bytes:
         request_id = head.headers["x-request-id"]
         tokens = sum(int(n) for n in head.headers.get("x-token-usage", "0,0").split(","))
         tenant = head.headers.get("x-tenant-id", "")
@@ -163,16 +163,19 @@
         }
         await asyncio.sleep(self.first_s)
         if not self.streams:
-            writer.write(message("HTTP/1.1 200 OK", headers, b'{"answer":"%b"}' % self.id.encode()))
-            return
+            answer = message("HTTP/1.1 200 OK", headers, b'{"answer":"%b"}' % self.id.encode())
+            writer.write(answer)
+            return answer
         headers |= {"Content-Type": "text/event-stream", "Versions": "1"}
-        writer.write(message("HTTP/1.1 200 OK", headers, None))
         first = int(head.headers.get("last-event-id") or 0) + 1
-        for number in range(first, self.pieces + 1):
-            writer.write(chunk(event(number)))
+        parts = [message("HTTP/1.1 200 OK", headers, None)]
+        parts += [chunk(event(number)) for number in range(first, self.pieces + 1)]
+        for part in parts:
+            writer.write(part)
             await writer.drain()
             await asyncio.sleep(self.gap_s)
         writer.write(chunk(b""))
+        return b"".join(parts) + chunk(b"")
 
 
 @dataclass(slots=True)
