--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,129 +1,142 @@
-"""Full hosts, which now and then send a second copy of an answer in the slot of the next one."""
+"""A core machine is replaced as planned; as it ends, another one is lost for good and replaced."""
 
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import signal
 import time
 from pathlib import Path
 from typing import Any
 
-from standins.callers import PROMISES, Clients
+from standins.callers import Clients, Operator, Try
 from standins.case import BROKEN_RULE, COULD_NOT_RUN, HELD, World, run
 from standins.hosts import Host
-
-# An eligibility check of the sheet, with more attempts than its service has hosts.
-TOKENS = (2_368, 24)
-DEADLINE_S = 3.0
-PIECES = 4
-MAX_ATTEMPTS = 3
-# Two hosts, which are full for some hundredths of a second when requests come in a clump.
-HOSTS = 2
-CAPACITY = 8
-QUEUE = 2
-FIRST_S = 0.015
-GAP_S = 0.002
-REQUESTS_PER_S = 170.0
-CLUMP = 24
-CLUMP_INTERVAL_S = 0.25
-# `garble` of the site file: how = "extra late", share = 0.6 of the hosts (here one of the two),
-# x = 0.03 of their answers, for 5 s at a time.
-COPYING_HOST = "i-0"
-COPIED_SHARE = 0.03
-PHASE_S = 5.0
-PAUSE_S = 1.0
-LENGTH_S = 96.0
-
-
-def document() -> dict[str, Any]:
-    """The configuration."""
+from standins.machines import HTTP_OK, THRESHOLDS, Fleet
+from standins.wire import call
+
+# The successor runs for longer than `sync_s` before the old machine gets its SIGTERM.
+SUCCESSOR_AHEAD_S = THRESHOLDS["sync_s"] + 2.0
+# From the end of the old machine's process to the loss of the other machine.
+LOSS_AFTER_S = float(os.environ.get("LOSS_AFTER_S", "0.2"))
+# `replace_core`: an empty machine comes 2 s later at another address.
+REPLACED_AFTER_S = 2.0
+# The requests that count are sent later than `recovery_s` after the machines are back.
+SETTLE_S = THRESHOLDS["recovery_s"] + 1.0
+TRAFFIC_S = 6.0
+REQUESTS_PER_S = 10.0
+READ_FOR_S = 3 * THRESHOLDS["contact_ms"] / 1000
+DEADLINE_S = 1.5
+
+
+def document(timeout_ms: int) -> dict[str, Any]:
+    """The configuration: status lookups of one tenant."""
     route = {
-        "name": "eligibility-check",
+        "name": "status-lookup",
         "hostname": "desk.example",
-        "path_prefix": "/eligibility/",
-        "kind": "streaming",
-        "timeout_ms": 3000,
-        "target_latency_ms": 600,
+        "path_prefix": "/status/",
+        "kind": "non_idempotent",
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": 200,
         "priority": 0,
-        "service": "savjetnik",
-        "max_attempts": MAX_ATTEMPTS,
+        "service": "upisnik",
+        "max_attempts": 1,
         "public": False,
-        "session_affinity": False,
-        "resumable": False,
-        "gap_aim_ms": 600,
     }
+    service = {"name": "upisnik", "health_check": "/healthz", "max_connections": 96}
     limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304}
     limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15000}
     tenant = {"name": "school", "api_keys": ["key-of-school"], "priority": 0, "unit": "tokens"}
-    service = {"name": "savjetnik", "health_check": "/healthz", "max_connections": 360}
-    engine = {"capacity": CAPACITY, "kv_capacity": 400298, "models": [{"name": "m"}]}
     return {
         "routes": [route],
-        "services": [service | {"protocol": "h1", "tls": False, "engine": engine}],
+        "services": [service | {"protocol": "h1", "tls": False}],
         "limits": limits,
-        "tenants": [tenant | {"plain_tokens": 200, "rate_per_s": 0, "burst": 0}],
+        "tenants": [tenant | {"plain_tokens": 200, "rate_per_s": 120582, "burst": 120582}],
     }
 
 
-async def press(clients: Clients) -> None:
-    """Requests at a steady rate, and some at once in each interval."""
-    tasks: set[asyncio.Task[Any]] = set()
-
-    def begin() -> None:
-        headers = {"X-Model": "m", "X-Token-Usage": f"{TOKENS[0]},{TOKENS[1]}"}
-        headers["X-Prompt-Prefix"] = f"{clients.random.getrandbits(32):x}:2368"
-        sending = clients.send("/eligibility/1", "key-of-school", headers, DEADLINE_S)
-        task = asyncio.create_task(sending)
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-
-    began = time.monotonic()
-    due = clump_due = began
-    while (now := time.monotonic()) - began < LENGTH_S:
-        if now >= due:
-            begin()
-            due = max(due, now - 0.1) + clients.random.expovariate(REQUESTS_PER_S)
-        if now >= clump_due:
-            for _ in range(CLUMP):
-                begin()
-            clump_due = max(clump_due, now - 0.1) + CLUMP_INTERVAL_S
-        await asyncio.sleep(max(0.0, min(due, clump_due) - time.monotonic()))
-    await asyncio.gather(*tasks)
+async def traffic(clients: Clients) -> float:
+    """Send requests for a time; the share of them that was served."""
+    tasks: list[asyncio.Task[Try]] = []
+    for _ in range(int(TRAFFIC_S * REQUESTS_PER_S)):
+        request = clients.request("/status/1", "key-of-school", {}, DEADLINE_S)
+        tasks.append(asyncio.create_task(request))
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+    ended = await asyncio.gather(*tasks)
+    return sum(made.status == HTTP_OK and made.whole for made in ended) / len(ended)
+
+
+async def members(fleet: Fleet, number: int) -> list[str]:
+    """The core's members as one controller tells them."""
+    machine = fleet.controllers[number]
+    answer = await call((machine.ip, fleet.admin), "GET /status HTTP/1.1", {}, b"", 1.0)
+    return [] if answer is None else json.loads(answer[1])["core"]
+
+
+async def replace(world: World, fleet: Fleet) -> bool:
+    """The planned replacement and, in the case with trouble, the loss; whether it could be done."""
+    first, second, third = fleet.controllers
+    successor, substitute = fleet.spares
+    await successor.start()
+    world.note(f"{successor.name} started, empty")
+    await asyncio.sleep(SUCCESSOR_AHEAD_S)
+    world.note(f"members of the core: {await members(fleet, 2)}")
+    first.signal(signal.SIGTERM)
+    world.note(f"SIGTERM to {first.name}, which leaves for good")
+    assert first.process is not None
+    async with asyncio.timeout(THRESHOLDS["grace_s"]):
+        await first.process.wait()
+    world.note(f"{first.name} ended with status {first.process.returncode}")
+    if not world.trouble:
+        return True
+    await asyncio.sleep(LOSS_AFTER_S)
+    await second.kill()
+    world.note(f"{second.name} is gone for good; {third.name} and {successor.name} run")
+    await asyncio.sleep(REPLACED_AFTER_S)
+    seeds = [f"{machine.ip}:{fleet.admin}" for machine in (third, successor, second)]
+    substitute.settings["seeds"] = seeds
+    await substitute.start()
+    world.note(f"{substitute.name} started, empty, in the place of {second.name}")
+    return True
 
 
 async def body(world: World) -> int:
     """Play the case."""
-    began = time.monotonic()
-
-    def copied() -> bool:
-        in_phase = (time.monotonic() - began) % (PHASE_S + PAUSE_S) >= PAUSE_S
-        return world.trouble and in_phase and world.random.random() < COPIED_SHARE
-
     hosts = [
         Host(
-            f"i-{n}", "savjetnik", f"zone-{'abc'[n]}", CAPACITY, QUEUE, FIRST_S, PIECES, GAP_S,
-            world.runs, world.note, copies=copied if f"i-{n}" == COPYING_HOST else None,
+            f"i-{n}", "upisnik", f"zone-{'abc'[n]}", 6, 24, 0.045, 0, 0.0,
+            world.runs, world.note, streams=False,
         )
-        for n in range(HOSTS)
+        for n in range(3)
     ]  # fmt: skip
-    fleet, operator, clients = await world.start(hosts, routers=6)
-    if not await operator.send(document()) or not await fleet.wait_ready():
+    fleet, operator, clients = await world.start(hosts, routers=3, spares=2)
+    if not await operator.send(document(1500)) or not await fleet.wait_ready():
         return COULD_NOT_RUN
-    await press(clients)
-    ran: dict[str, int] = {}
-    for each in world.runs:
-        ran[each.id] = ran.get(each.id, 0) + 1
-    refused = [made.id for made in clients.tries if made.status in PROMISES and made.id in ran]
-    twice = [request for request, times in ran.items() if times > 1]
-    world.note(
-        f"{len(clients.tries)} tries, {len(world.runs)} runs, "
-        f"{sum(host.answers for host in hosts)} answers of hosts, "
-        f"{sum(host.copied for host in hosts)} of them came a second time, late"
-    )
-    world.note(f"answered by a promise not to have run, and yet run: {len(refused)}: {refused}")
-    world.note(f"run more than once: {len(twice)}: {twice}")
-    if not world.runs:
+    await asyncio.sleep(2.0)
+    served_before = await traffic(clients)
+    if not await replace(world, fleet):
         return COULD_NOT_RUN
-    return BROKEN_RULE if refused or twice else HELD
+    await asyncio.sleep(SETTLE_S)
+    served_after = await traffic(clients)
+    newest = operator.generation
+    began = time.monotonic()
+    read = await operator.read(READ_FOR_S)
+    world.note(f"read back within {time.monotonic() - began:.1f} s: {read is not None}")
+    world.note(f"served before: {served_before:.2f}; after: {served_after:.2f}")
+    comes = read is not None and read["generation"] >= newest
+    if not comes:
+        await after(world, operator)
+    return HELD if comes else BROKEN_RULE
+
+
+async def after(world: World, operator: Operator) -> None:
+    """For the record: does the core take a change now?"""
+    try:
+        async with asyncio.timeout(8.0):
+            world.note(f"a change was taken: {await operator.send(document(1400))}")
+    except TimeoutError:
+        world.note("a change got no acknowledgement in 8 s")
 
 
 run(Path(__file__).resolve().parent, body)
--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -10,11 +10,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from standins.machines import HTTP_OK, Fleet
+from standins.machines import HTTP_OK, Fleet, Machine
 from standins.wire import BROKEN, call, message, read_head, read_pieces
 
 PROMISES = (408, 421, 429, 503)
 SERVER_ERROR = 500
+TRIES = 20
+READ_TIMEOUT_S = 1.0
 OPERATOR_PAUSES_S = (0.1, 0.2, 0.4, 0.8)
 CONNECT_TIMEOUT_S = 1.0
 
@@ -33,8 +35,8 @@
         base = self.generation
         body = json.dumps(document | {"generation": base + 2}).encode()
         headers = {"X-Base-Version": str(base), "Content-Type": "application/json"}
-        for attempt in range(60):
-            core = self.fleet.controllers[attempt % len(self.fleet.controllers)]
+        for attempt in range(TRIES):
+            core = self._core(attempt)
             answer = await call(
                 (core.ip, self.fleet.admin), "POST /config/replace HTTP/1.1", headers, body, 2.5
             )
@@ -47,8 +49,31 @@
                 self.note(f"configuration {base + 2} refused: {answer[0].status} {answer[1]!r}")
                 return False
             await asyncio.sleep(OPERATOR_PAUSES_S[min(attempt, len(OPERATOR_PAUSES_S) - 1)])
+        self.note(f"configuration {base + 2} got no clear answer in {TRIES} calls")
         return False
 
+    async def read(self, for_s: float) -> dict[str, Any] | None:
+        """Ask for the newest configuration, again and again for a time; None if it never came."""
+        began = time.monotonic()
+        attempt = 0
+        while time.monotonic() - began < for_s:
+            core = self._core(attempt)
+            address = (core.ip, self.fleet.admin)
+            answer = await call(address, "GET /config/get HTTP/1.1", {}, b"", READ_TIMEOUT_S)
+            status = None if answer is None else answer[0].status
+            self.note(f"read of the configuration at {core.name}: {status}")
+            if answer is not None and status == HTTP_OK:
+                document: dict[str, Any] = json.loads(answer[1])
+                return document
+            attempt += 1
+            await asyncio.sleep(0.3)
+        return None
+
+    def _core(self, attempt: int) -> Machine:
+        """The gateway for a call, from the operator's list: those that are in service now."""
+        listed = [m for m in self.fleet.controllers + self.fleet.spares if m.running]
+        return listed[attempt % len(listed)]
+
 
 @dataclass(slots=True)
 class Try:
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -39,7 +39,9 @@
         """Write a line of the record, with the time since the start."""
         self.lines.append(f"{time.monotonic() - self.began:8.3f} {line}")
 
-    async def start(self, hosts: list[Host], routers: int) -> tuple[Fleet, Operator, Clients]:
+    async def start(
+        self, hosts: list[Host], routers: int, spares: int = 0
+    ) -> tuple[Fleet, Operator, Clients]:
         """Start the hosts, the platform's list and all processes of the fleet."""
         self.random.seed(self.seed)
         self.hosts = hosts
@@ -47,7 +49,7 @@
             await host.start()
         self.host_list = HostList(hosts)
         await self.host_list.start()
-        self.fleet = Fleet.make(routers, self.host_list.address)
+        self.fleet = Fleet.make(routers, self.host_list.address, spares)
         await self.fleet.start()
         clients = Clients(self.fleet, self.note, self.random)
         return self.fleet, Operator(self.fleet, self.note), clients
--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HTTP_OK = 200
 READY_TIMEOUT_S = 25.0
+CONTROLLERS = 3
 # The figures of the deployment `kovacic-upisi`, from its sheet in SYSTEM.md.
 THRESHOLDS: dict[str, Any] = {
     "seed_staleness_s": 3,
@@ -119,9 +120,13 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """Three controllers and some routers on loopback addresses."""
+    """Three controllers and some routers on loopback addresses.
+
+    `spares` are empty core machines at other addresses, which a case starts during its day.
+    """
 
     controllers: list[Machine] = field(default_factory=list)
+    spares: list[Machine] = field(default_factory=list)
     routers: list[Machine] = field(default_factory=list)
     http: int = 0
     readiness: int = 0
@@ -129,11 +134,11 @@
     _folder: tempfile.TemporaryDirectory[str] | None = None
 
     @staticmethod
-    def make(routers: int, host_list: Address) -> Fleet:
+    def make(routers: int, host_list: Address, spares: int = 0) -> Fleet:
         """The machines with their settings; nothing is started."""
         fleet = Fleet()
         fleet._folder = tempfile.TemporaryDirectory(prefix="review-")
-        core = [f"127.0.0.{11 + number}" for number in range(3)]
+        core = [f"127.0.0.{11 + number}" for number in range(CONTROLLERS + spares)]
         edge = [f"127.0.0.{21 + number}" for number in range(routers)]
         ports: set[int] = set()
         while len(ports) < len(("http", "readiness", "admin", "peer")):
@@ -162,8 +167,8 @@
                     "zones": dict.fromkeys(zones, "loopback"),
                     "bind": binds,
                     "port_range": [peer, peer],
-                    "seeds": [f"{seed}:{fleet.admin}" for seed in core],
-                    "bootstrap": True,
+                    "seeds": [f"{seed}:{fleet.admin}" for seed in core[:CONTROLLERS]],
+                    "bootstrap": not is_core or number < CONTROLLERS,
                     "counts_for_quorum": is_core,
                     "limits": {
                         "cpu_share": 0.645 if is_core else 0.537,
@@ -189,11 +194,16 @@
                     },
                 }
                 machine = Machine(name, role, ip, folder, settings)
-                (fleet.controllers if is_core else fleet.routers).append(machine)
+                if not is_core:
+                    fleet.routers.append(machine)
+                elif number < CONTROLLERS:
+                    fleet.controllers.append(machine)
+                else:
+                    fleet.spares.append(machine)
         return fleet
 
     async def start(self) -> None:
-        """Start all processes."""
+        """Start all processes but the spares."""
         await asyncio.gather(*(machine.start() for machine in self.controllers + self.routers))
 
     async def wait_ready(self) -> bool:
@@ -215,14 +225,14 @@
     def logs(self) -> str:
         """The ends of all logs, for a case that could not run."""
         ends = []
-        for machine in self.controllers + self.routers:
+        for machine in self.controllers + self.spares + self.routers:
             with suppress(OSError):
                 ends.append(f"{machine.name}: {(machine.folder / 'log').read_text()[-800:]}")
         return "\n".join(ends)
 
     async def end(self) -> None:
         """End all processes and remove the folder."""
-        for machine in self.controllers + self.routers:
+        for machine in self.controllers + self.spares + self.routers:
             await machine.kill()
         if self._folder is not None:
             self._folder.cleanup()
