--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,14 +8,16 @@
 import signal
 import time
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from standins.callers import Clients, Operator, Try
 from standins.case import BROKEN_RULE, COULD_NOT_RUN, HELD, World, run
 from standins.hosts import Host
 from standins.machines import HTTP_OK, THRESHOLDS, Fleet
 from standins.wire import call
 
+if TYPE_CHECKING:
+    from standins.callers import Clients, Operator, Try
+
 # The successor runs for longer than `sync_s` before the old machine gets its SIGTERM.
 SUCCESSOR_AHEAD_S = THRESHOLDS["sync_s"] + 2.0
 # From the end of the old machine's process to the loss of the other machine.
--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -4,15 +4,17 @@
 
 import asyncio
 import json
-import random
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from standins.machines import HTTP_OK, Fleet, Machine
 from standins.wire import BROKEN, call, message, read_head, read_pieces
 
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
 PROMISES = (408, 421, 429, 503)
 SERVER_ERROR = 500
 TRIES = 20
@@ -134,9 +136,7 @@
         )
         return made
 
-    async def request(
-        self, path: str, key: str, headers: dict[str, str], deadline_s: float
-    ) -> Try:
+    async def request(self, path: str, key: str, headers: dict[str, str], deadline_s: float) -> Try:
         """A request with at most one retry, only after a promise and as long as told."""
         began = time.monotonic()
         made = await self.send(path, key, headers, deadline_s)
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -7,14 +7,17 @@
 import random
 import sys
 import time
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 from standins.callers import Clients, Operator
 from standins.hosts import Host, HostList, Run
 from standins.machines import Fleet
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from pathlib import Path
+
 HELD = 0
 BROKEN_RULE = 1
 COULD_NOT_RUN = 2
--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -6,12 +6,15 @@
 import json
 import time
 import zlib
-from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from standins.wire import BROKEN, Address, Head, chunk, message, read_body, read_head
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 @dataclass(slots=True)
 class Run:
@@ -93,9 +96,7 @@
             "models": [{"name": "m", "generation": 1, "adapters": []}] if self.streams else [],
         }
 
-    async def _connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
@@ -200,9 +201,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -182,8 +182,17 @@
                     "discovery": "cloud",
                     "ingress": "virtual_ip",
                     "heartbeat_ms": 1200,
-                    "guarantees": ["base", "drain", "config", "retry", "recover", "engine"]
-                    + ["stream", "tenants", "quota"],
+                    "guarantees": [
+                        "base",
+                        "drain",
+                        "config",
+                        "retry",
+                        "recover",
+                        "engine",
+                        "stream",
+                        "tenants",
+                        "quota",
+                    ],
                     "fault_tolerance": {"nodes": 1, "zones": 0, "regions": 0},
                     "thresholds": THRESHOLDS,
                     "cloud_api": {
@@ -211,7 +220,8 @@
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
                 for router in self.routers:
-                    while not await self.is_ready(router):
+                    # There is no event for what another process answers.
+                    while not await self.is_ready(router):  # noqa: ASYNC110
                         await asyncio.sleep(0.1)
         except TimeoutError:
             return False
--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
 
 Address = tuple[str, int]
 # What ends an exchange early: a close, a reset, bytes that are no message.
