--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A core machine is replaced as planned; as it ends, another one is lost for good and replaced."""
+"""The core machines are replaced as planned: new ones first, then the old ones end in turn."""
 
 from __future__ import annotations
 
@@ -12,15 +12,19 @@
 
 from standins.case import BROKEN_RULE, COULD_NOT_RUN, HELD, World, run
 from standins.hosts import Host
-from standins.machines import HTTP_OK, THRESHOLDS, Fleet
+from standins.machines import HTTP_OK, THRESHOLDS, Fleet, Machine
 from standins.wire import call
 
 if TYPE_CHECKING:
     from standins.callers import Clients, Operator, Try
 
-# The successor runs for longer than `sync_s` before the old machine gets its SIGTERM.
+# The successors run for longer than `sync_s` before the old machines get their SIGTERM.
 SUCCESSOR_AHEAD_S = THRESHOLDS["sync_s"] + 2.0
-# From the end of the old machine's process to the loss of the other machine.
+# Between the end of one old machine's process and the SIGTERM of the next machine.
+GAP_S = float(os.environ.get("GAP_S", "0"))
+# VARIANT=loss: one machine is replaced as planned; this long after its process has ended another
+# one is lost for good, and replaced.
+VARIANT = os.environ.get("VARIANT", "planned")
 LOSS_AFTER_S = float(os.environ.get("LOSS_AFTER_S", "0.2"))
 # `replace_core`: an empty machine comes 2 s later at another address.
 REPLACED_AFTER_S = 2.0
@@ -76,22 +80,42 @@
     return [] if answer is None else json.loads(answer[1])["core"]
 
 
-async def replace(world: World, fleet: Fleet) -> bool:
-    """The planned replacement and, in the case with trouble, the loss; whether it could be done."""
+async def end_as_planned(world: World, machine: Machine) -> None:
+    """Wait for the end of a machine that got SIGTERM."""
+    assert machine.process is not None
+    async with asyncio.timeout(THRESHOLDS["grace_s"]):
+        await machine.process.wait()
+    world.note(f"{machine.name} ended with status {machine.process.returncode}")
+
+
+async def replace_all(world: World, fleet: Fleet) -> None:
+    """Three empty machines come; then, in the case with trouble, the old ones leave in turn."""
+    await asyncio.gather(*(spare.start() for spare in fleet.spares))
+    world.note(f"started, empty: {[spare.name for spare in fleet.spares]}")
+    await asyncio.sleep(SUCCESSOR_AHEAD_S)
+    world.note(f"members of the core: {await members(fleet, 2)}")
+    if not world.trouble:
+        return
+    for old in fleet.controllers:
+        old.signal(signal.SIGTERM)
+        world.note(f"SIGTERM to {old.name}, which leaves for good")
+        await end_as_planned(world, old)
+        await asyncio.sleep(GAP_S)
+
+
+async def replace_one(world: World, fleet: Fleet) -> None:
+    """One machine is replaced as planned; in the case with trouble another one is lost then."""
     first, second, third = fleet.controllers
-    successor, substitute = fleet.spares
+    successor, substitute, _ = fleet.spares
     await successor.start()
     world.note(f"{successor.name} started, empty")
     await asyncio.sleep(SUCCESSOR_AHEAD_S)
     world.note(f"members of the core: {await members(fleet, 2)}")
     first.signal(signal.SIGTERM)
     world.note(f"SIGTERM to {first.name}, which leaves for good")
-    assert first.process is not None
-    async with asyncio.timeout(THRESHOLDS["grace_s"]):
-        await first.process.wait()
-    world.note(f"{first.name} ended with status {first.process.returncode}")
+    await end_as_planned(world, first)
     if not world.trouble:
-        return True
+        return
     await asyncio.sleep(LOSS_AFTER_S)
     await second.kill()
     world.note(f"{second.name} is gone for good; {third.name} and {successor.name} run")
@@ -100,7 +124,6 @@
     substitute.settings["seeds"] = seeds
     await substitute.start()
     world.note(f"{substitute.name} started, empty, in the place of {second.name}")
-    return True
 
 
 async def body(world: World) -> int:
@@ -112,13 +135,12 @@
         )
         for n in range(3)
     ]  # fmt: skip
-    fleet, operator, clients = await world.start(hosts, routers=3, spares=2)
+    fleet, operator, clients = await world.start(hosts, routers=3, spares=3)
     if not await operator.send(document(1500)) or not await fleet.wait_ready():
         return COULD_NOT_RUN
     await asyncio.sleep(2.0)
     served_before = await traffic(clients)
-    if not await replace(world, fleet):
-        return COULD_NOT_RUN
+    await (replace_one if VARIANT == "loss" else replace_all)(world, fleet)
     await asyncio.sleep(SETTLE_S)
     served_after = await traffic(clients)
     newest = operator.generation
