--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,6 +32,7 @@
 SETTLE_S = THRESHOLDS["recovery_s"] + 1.0
 TRAFFIC_S = 6.0
 REQUESTS_PER_S = 10.0
+SERVED_BEFORE = 0.9
 READ_FOR_S = 3 * THRESHOLDS["contact_ms"] / 1000
 DEADLINE_S = 1.5
 
@@ -73,11 +74,14 @@
     return sum(made.status == HTTP_OK and made.whole for made in ended) / len(ended)
 
 
-async def members(fleet: Fleet, number: int) -> list[str]:
-    """The core's members as one controller tells them."""
+async def members(fleet: Fleet, number: int) -> str:
+    """The core's voters and its chain, as one controller tells them."""
     machine = fleet.controllers[number]
     answer = await call((machine.ip, fleet.admin), "GET /status HTTP/1.1", {}, b"", 1.0)
-    return [] if answer is None else json.loads(answer[1])["core"]
+    if answer is None:
+        return "unknown"
+    status = json.loads(answer[1])
+    return f"voters {sorted(status['core'])}, chain {sorted(status['chain'])}"
 
 
 async def end_as_planned(world: World, machine: Machine) -> None:
@@ -140,6 +144,8 @@
         return COULD_NOT_RUN
     await asyncio.sleep(2.0)
     served_before = await traffic(clients)
+    if served_before < SERVED_BEFORE:
+        return COULD_NOT_RUN
     await (replace_one if VARIANT == "loss" else replace_all)(world, fleet)
     await asyncio.sleep(SETTLE_S)
     served_after = await traffic(clients)
