--- a/roselink/controller/chain_driver.py
+++ b/roselink/controller/chain_driver.py
@@ -12,6 +12,7 @@
 
 from roselink.controller.chain_interface import DiskStatus
 from roselink.controller.exceptions import DataDirMissingError
+from roselink.controller.quorum_monitor import QuorumEvent, QuorumMonitor
 from roselink.controller.startup_log import log
 from roselink.controller.storage import Storage, record_number
 from roselink.coordination.effects import (
@@ -81,6 +82,7 @@
         self._member: Member | None = None
         self._running = False
         self._logged_epoch = 0
+        self._quorum_monitor = QuorumMonitor()
         self._timer: asyncio.TimerHandle | None = None
         self._submits: dict[int, Callable[[SubmitOutcome], None]] = {}
         self._reads: dict[int, Callable[[Confirmation | None], None]] = {}
@@ -104,6 +106,7 @@
             self._perform(self._member.leave(self._loop.time()))
             while not self._member.has_left and self._loop.time() < deadline:
                 await asyncio.sleep(_LEAVE_CHECK_INTERVAL_S)
+            self._log_leave(self._member)
         self.halt()
 
     def halt(self) -> None:
@@ -257,12 +260,39 @@
         if self.is_tail:
             log.info("chain_activated", epoch=view.epoch)
 
+    def _log_leave(self, member: Member) -> None:
+        """Log the view in which this process ends, and whether it is still a voter there."""
+        voters = () if member.view is None else member.view.voters
+        log.info(
+            "chain_left",
+            epoch=self.epoch,
+            left=member.has_left,
+            is_voter=member.voter in voters,
+            voters=[voter.address for voter in voters],
+        )
+
+    def _log_quorum(self, member: Member, now: float) -> None:
+        if member.view is None:
+            return
+        reachable = {member.voter.address, *member.peers.reachable(now)}
+        event = self._quorum_monitor.update(member.view, reachable, now)
+        if event is QuorumEvent.LOST:
+            voters = [voter.address for voter in member.view.voters]
+            missing = [address for address in voters if address not in reachable]
+            log.warning(
+                "majority_unreachable", epoch=member.view.epoch, voters=voters, missing=missing
+            )
+        elif event is QuorumEvent.REGAINED:
+            log.info("majority_reachable", epoch=member.view.epoch)
+
     def _tick(self) -> None:
         if self._member is None or not self._running:
             return
         # Scheduled before the work, so that an exception in one tick doesn't end all later ones.
         self._timer = self._loop.call_later(TICK_S, self._tick)
-        self._perform(self._member.tick(self._loop.time()))
+        now = self._loop.time()
+        self._perform(self._member.tick(now))
+        self._log_quorum(self._member, now)
 
     # --- the disk's worker thread
 
