--- a/roselink/coordination/heartbeats.py
+++ b/roselink/coordination/heartbeats.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from roselink.coordination.effects import Emit, Send
-from roselink.coordination.views import PeerStatus, chain_is_complete
+from roselink.coordination.peer_status import PeerStatus
+from roselink.coordination.views import chain_is_complete
 from roselink.protocol.chain import Heartbeat, View, Voter
 
 if TYPE_CHECKING:
--- a/roselink/coordination/member.py
+++ b/roselink/coordination/member.py
@@ -42,6 +42,7 @@
 from roselink.coordination.exceptions import DriverContractError
 from roselink.coordination.heartbeats import HeartbeatSender
 from roselink.coordination.messages import MessageDispatcher
+from roselink.coordination.peer_status import ViewPolicy
 from roselink.coordination.peer_table import PeerTable
 from roselink.coordination.pending_calls import PendingCalls
 from roselink.coordination.proposer import Proposer
@@ -51,7 +52,6 @@
 from roselink.coordination.sequencer import ChangeSequencer
 from roselink.coordination.state import EMPTY
 from roselink.coordination.views import (
-    ViewPolicy,
     chain_is_reconnected,
     first_view,
     majority,
--- a/roselink/coordination/peer_table.py
+++ b/roselink/coordination/peer_table.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from roselink.coordination.views import PeerStatus
+from roselink.coordination.peer_status import PeerStatus
 from roselink.protocol.chain import Heartbeat, Voter
 
 if TYPE_CHECKING:
--- a/roselink/coordination/proposer.py
+++ b/roselink/coordination/proposer.py
@@ -12,19 +12,14 @@
 
 from roselink.coordination.effects import Emit, Send
 from roselink.coordination.proposal_round import ProposalRound
-from roselink.coordination.views import (
-    PeerStatus,
-    ViewPolicy,
-    majority,
-    plan,
-    should_await_joiners,
-)
+from roselink.coordination.views import majority, plan, should_await_joiners
 from roselink.protocol.chain import Accept, Accepted, Ballot, Prepare, Promise, Refusal, View, Voter
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from roselink.coordination.acceptor import Acceptor
+    from roselink.coordination.peer_status import PeerStatus, ViewPolicy
 
 # Delay for each live voter of a lower rank. A larger value makes competing rounds rarer; with a
 # smaller one the next voter proposes sooner if the first doesn't.
--- a/roselink/coordination/views.py
+++ b/roselink/coordination/views.py
@@ -68,69 +68,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from itertools import combinations
 from typing import TYPE_CHECKING
 
+from roselink.coordination.voter_plan import plan_voters
 from roselink.protocol.chain import ChainReplica, View, Voter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-# Maximum number of voters. At the maximum, a joiner is only added in place of an absent voter.
-MAX_VOTERS = 9
-
-
-@dataclass(frozen=True, slots=True)
-class PeerStatus:
-    """The status of one core machine at the time of a plan.
-
-    Attributes:
-        voter: its identity.
-        session: identifies its process.
-        epoch: the epoch of the newest view that it knows.
-        state_epoch: the epoch of the state on its disk.
-        participating: whether it participates in the chain of `epoch`.
-        disk_ok: whether its disk completes saves in time.
-        leaving: whether its process is about to end.
-        live: whether it and the planner receive each other's heartbeats.
-        stable: whether it has been live and eligible for long enough to join.
-        since_heartbeat_s: the time since its last heartbeat; 0 while a live machine reports it
-            as reachable.
-        reachable: the addresses from which it reports that it receives heartbeats.
-    """
-
-    voter: Voter
-    session: int
-    epoch: int
-    state_epoch: int
-    participating: bool
-    disk_ok: bool
-    leaving: bool
-    live: bool
-    stable: bool
-    since_heartbeat_s: float
-    reachable: frozenset[str]
-
-    @property
-    def eligible(self) -> bool:
-        """Whether it can be in a chain."""
-        return self.live and self.disk_ok and not self.leaving
-
-
-@dataclass(frozen=True, slots=True)
-class ViewPolicy:
-    """The parameters of plans.
-
-    Attributes:
-        tolerated: how many machines may be lost at once.
-        absence_timeout_s: a voter without a heartbeat for this time is replaced by a joiner, or
-            removed while more than `2 * tolerated + 1` voters remain, so that a majority needs
-            fewer live voters. It may join again like any other machine.
-    """
-
-    tolerated: int
-    absence_timeout_s: float = 0.45
+    from roselink.coordination.peer_status import PeerStatus, ViewPolicy
 
 
 def first_view(seeds: Iterable[str]) -> View:
@@ -170,7 +117,7 @@
     """
     if _needs_no_plan(view, peers):
         return None
-    voters = _plan_voters(view, peers, policy)
+    voters = plan_voters(view, peers, policy)
     chain = _plan_chain(view, voters, peers, policy)
     if chain is None or _awaits_state_transfer(view, chain, peers, policy, is_recent=is_recent):
         return None
@@ -229,48 +176,6 @@
     return peer.participating or peer.epoch < view.epoch
 
 
-def _plan_voters(
-    view: View, peers: Mapping[str, PeerStatus], policy: ViewPolicy
-) -> tuple[Voter, ...]:
-    """The voters of the next view: each joiner replaces an absent voter, or is added."""
-    voters = list(view.voters)
-    joiners = [
-        peer.voter
-        for peer in peers.values()
-        if peer.eligible and peer.stable and peer.voter not in view.voters
-    ]
-    for joiner in joiners:
-        same_address = next(
-            (index for index, voter in enumerate(voters) if voter.address == joiner.address), None
-        )
-        if same_address is not None:
-            voters[same_address] = joiner
-            continue
-        absent = _longest_absent(voters, peers, policy.absence_timeout_s)
-        if absent is not None:
-            voters[absent] = joiner
-        elif len(voters) < MAX_VOTERS:
-            voters.append(joiner)
-    while len(voters) > 2 * policy.tolerated + 1:
-        absent = _longest_absent(voters, peers, policy.absence_timeout_s)
-        if absent is None:
-            break
-        del voters[absent]
-    return tuple(voters)
-
-
-def _longest_absent(
-    voters: list[Voter], peers: Mapping[str, PeerStatus], timeout_s: float
-) -> int | None:
-    """The index of the voter longest without a heartbeat; None if below `timeout_s`."""
-    absences = [
-        (peers[voter.address].since_heartbeat_s if voter.address in peers else float("inf"), index)
-        for index, voter in enumerate(voters)
-    ]
-    longest_s, index = max(absences)
-    return index if longest_s >= timeout_s else None
-
-
 def _plan_chain(
     view: View, voters: tuple[Voter, ...], peers: Mapping[str, PeerStatus], policy: ViewPolicy
 ) -> tuple[ChainReplica, ...] | None:
--- a/roselink/simulation/system_state.py
+++ b/roselink/simulation/system_state.py
@@ -23,7 +23,8 @@
     SubmitDone,
 )
 from roselink.coordination.member import Member, Start
-from roselink.coordination.views import PeerStatus, plan
+from roselink.coordination.peer_status import PeerStatus
+from roselink.coordination.views import plan
 from roselink.protocol.chain import ConfigurationChange, Heartbeat
 from roselink.protocol.records import decode, encode, record_number_of
 from roselink.simulation.packing import RECORD_NUMBERS, PackedMachine, UnpackedMachine, pack, unpack
--- a/tests/coordination/test_views.py
+++ b/tests/coordination/test_views.py
@@ -6,9 +6,8 @@
 
 import pytest
 
+from roselink.coordination.peer_status import PeerStatus, ViewPolicy
 from roselink.coordination.views import (
-    PeerStatus,
-    ViewPolicy,
     first_view,
     is_intact,
     majority,
--- a/tests/mutations/coordination.py
+++ b/tests/mutations/coordination.py
@@ -34,12 +34,6 @@
             "since = view.epoch + 1 if replica is None",
             "since = 1 if replica is None",
         ),
-        ("a leaving machine is eligible", "self.disk_ok and not self.leaving", "self.disk_ok"),
-        (
-            "a machine with an unhealthy disk is eligible",
-            "self.live and self.disk_ok and",
-            "self.live and",
-        ),
         (
             "a chain with too few intact members does not wait",
             "chain is None or "
@@ -61,6 +55,20 @@
             "and (is_recent or _state_can_reach(view, peer, members))\n",
             "\n",
         ),
+    ),
+    *mutations_of(
+        "coordination/peer_status.py",
+        COORDINATION,
+        ("a leaving machine is eligible", "self.disk_ok and not self.leaving", "self.disk_ok"),
+        (
+            "a machine with an unhealthy disk is eligible",
+            "self.live and self.disk_ok and",
+            "self.live and",
+        ),
+    ),
+    *mutations_of(
+        "coordination/voter_plan.py",
+        COORDINATION,
         (
             "any voter is replaced by a joiner",
             "return index if longest_s >= timeout_s else None",
--- a/tools/core.py
+++ b/tools/core.py
@@ -14,7 +14,7 @@
 from roselink.coordination.effects import Effect, Send, Store
 from roselink.coordination.reads import ReadRounds, WaitingRead
 from roselink.coordination.state import HISTORY_LIMIT, apply_change, digest_of
-from roselink.coordination.views import MAX_VOTERS
+from roselink.coordination.voter_plan import MAX_VOTERS
 from roselink.protocol.chain import (
     ChainReplica,
     ConfigurationChange,
--- a/tools/pulls.py
+++ b/tools/pulls.py
@@ -15,7 +15,7 @@
 from roselink.controller.chain_interface import Confirmation
 from roselink.controller.pull_effects import SendDeltaReply, SendReply
 from roselink.controller.pull_server import PullServer
-from roselink.coordination.views import MAX_VOTERS
+from roselink.coordination.voter_plan import MAX_VOTERS
 from roselink.dataplane.fleet_host_pool import FleetHostPool
 from roselink.dataplane.host_directory import HostDirectory
 from roselink.distribution.host_changes import expand_reply
