--- a/roselink/controller/app.py
+++ b/roselink/controller/app.py
@@ -38,12 +38,14 @@
     from roselink.controller.twisted_reactor import ListeningPort, Reactor
     from roselink.protocol.peer_connection import ReplySender
 
-# Fraction of `grace_s` that each of two steps may take after SIGTERM: first completing the changes
-# in flight, then leaving the chain. A larger one lets more changes complete; a smaller one ends the
-# process sooner.
+# Fraction of `grace_s` for the changes in flight after SIGTERM. A larger one lets more of them
+# complete; a smaller one ends the process sooner.
 STOP_GRACE_FRACTION = 0.25
-# Upper bound of the time for each of these two steps, in seconds.
+# Upper bound of the time for the changes in flight, in seconds.
 MAX_STOP_S = 1.5
+# Fraction of `grace_s` for leaving the chain afterwards. Most of it is used only while the peers
+# need this process for a majority.
+LEAVE_GRACE_FRACTION = 0.5
 STOP_CHECK_INTERVAL_S = 0.05
 MAX_LISTEN_ATTEMPTS = 50
 LISTEN_RETRY_INTERVAL_S = 0.1
@@ -260,13 +262,13 @@
             self._api.stop()
         if self._host_list_client is not None:
             self._host_list_client.close()
-        timeout_s = min(MAX_STOP_S, self._settings.thresholds.grace_s * STOP_GRACE_FRACTION)
-        deadline = self._loop.time() + timeout_s
+        grace_s = self._settings.thresholds.grace_s
+        deadline = self._loop.time() + min(MAX_STOP_S, grace_s * STOP_GRACE_FRACTION)
         while self._api is not None and self._api.in_flight and self._loop.time() < deadline:
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self._chain is not None:
             try:
-                async with asyncio.timeout(timeout_s):
+                async with asyncio.timeout(grace_s * LEAVE_GRACE_FRACTION):
                     await self._chain.stop()
             except TimeoutError:
                 log.warning("chain_leave_timed_out")
--- a/roselink/controller/chain_driver.py
+++ b/roselink/controller/chain_driver.py
@@ -39,7 +39,6 @@
     from roselink.protocol.peer_connection import Address, ReplySender
     from roselink.protocol.peer_pool import PeerPool
 
-LEAVE_TIMEOUT_S = 1.0
 LOAD_RETRY_INTERVAL_S = 0.2
 # Damaged records that one process finds before it logs that the disk should be replaced.
 UNTRUSTED_AFTER_DAMAGES = 2
@@ -100,14 +99,20 @@
         self._load_records()
 
     async def stop(self) -> None:
-        """Leave the chain, within `LEAVE_TIMEOUT_S` if possible, and stop."""
-        if self._member is not None and self._running:
-            deadline = self._loop.time() + LEAVE_TIMEOUT_S
-            self._perform(self._member.leave(self._loop.time()))
-            while not self._member.has_left and self._loop.time() < deadline:
+        """Leave the chain and the voters, and stop; a caller may limit the time by cancelling."""
+        try:
+            if self._member is not None and self._running:
+                await self._leave(self._member)
+        finally:
+            self.halt()
+
+    async def _leave(self, member: Member) -> None:
+        self._perform(member.leave(self._loop.time()))
+        try:
+            while not member.may_end(self._loop.time()):
                 await asyncio.sleep(_LEAVE_CHECK_INTERVAL_S)
-            self._log_leave(self._member)
-        self.halt()
+        finally:
+            self._log_leave(member)
 
     def halt(self) -> None:
         """Stop at once; calls in flight end with an unknown outcome."""
--- a/roselink/coordination/member.py
+++ b/roselink/coordination/member.py
@@ -30,6 +30,7 @@
 
 from roselink.coordination.acceptor import Acceptor
 from roselink.coordination.chain import ChainMember
+from roselink.coordination.departure import Departure
 from roselink.coordination.disk_health import DiskHealth
 from roselink.coordination.effects import (
     Effect,
@@ -55,8 +56,8 @@
     chain_is_reconnected,
     first_view,
     majority,
-    replica_of,
 )
+from roselink.coordination.voter_plan import staying_voters_lack_majority
 from roselink.protocol.chain import (
     AcceptorState,
     ConfigurationChange,
@@ -138,7 +139,9 @@
         self.heartbeats = HeartbeatSender(
             voter, start.session, start.seeds, self.chain, self.peers, self.disk, self.emit
         )
-        self.proposer = Proposer(voter, start.session, ViewPolicy(start.tolerated), self.emit)
+        self._policy = ViewPolicy(start.tolerated)
+        self.proposer = Proposer(voter, start.session, self._policy, self.emit)
+        self.departure = Departure(voter, start.session, self._policy, self.emit)
         self.reads = ReadRounds(voter, self.emit)
         self.sequencer = ChangeSequencer(self.chain, self.emit)
         self.pending_calls = PendingCalls(voter, self.emit)
@@ -163,6 +166,7 @@
             reads=self.reads,
             sequencer=self.sequencer,
             pending_calls=self.pending_calls,
+            departure=self.departure,
             emit=self.emit,
             adopt_view=self.adopt_view,
             on_committed=self.on_committed,
@@ -238,6 +242,7 @@
             if self.view is not None and self.chain.is_tail:
                 self.reads.advance(self.view, now)
             self._propose(now)
+            self.departure.advance(self.view, now)
             self._scrub(now)
         return self._flush(now)
 
@@ -254,16 +259,30 @@
         return self._last_number, self._flush(now)
 
     def leave(self, now: float) -> list[Effect]:
-        """Request a view without this member in its chain."""
+        """Request a view without this member; the process ends once it `may_end`."""
+        self.departure.request(now)
         self.heartbeats.leave()
         if self._is_on_disk:
             self.heartbeats.send_due(self.view, now)
+            self.departure.advance(self.view, now)
         return self._flush(now)
 
     @property
     def has_left(self) -> bool:
-        """Whether this member has no replica in the newest view's chain."""
-        return replica_of(self.view, self.voter) is None
+        """Whether no later view needs this process (D1 in `departure`)."""
+        return self.departure.is_complete(self.view)
+
+    def may_end(self, now: float) -> bool:
+        """Whether the leaving process may end: it has left, or its wait is in vain (D2)."""
+        return self.has_left or (
+            self.departure.is_overdue(now)
+            and (
+                self.view is None
+                or not staying_voters_lack_majority(
+                    self.view, self.heartbeats.snapshot(self.view, now), self._policy
+                )
+            )
+        )
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds to which heartbeats are sent, after a change of the settings."""
@@ -377,6 +396,7 @@
         self.sequencer.clear()
         self.chain.enter(self.view, now, is_bootstrapping=self._is_bootstrapping)
         self._report_view_change()
+        self.departure.advance(self.view, now)
         self.pending_calls.view_changed(self.view, now)
         if self.chain.active:
             self.on_committed(now)
--- a/roselink/coordination/messages.py
+++ b/roselink/coordination/messages.py
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from roselink.coordination.acceptor import Acceptor
     from roselink.coordination.chain import ChainMember
+    from roselink.coordination.departure import Departure
     from roselink.coordination.heartbeats import HeartbeatSender
     from roselink.coordination.peer_table import PeerTable
     from roselink.coordination.pending_calls import PendingCalls
@@ -61,6 +62,7 @@
     reads: ReadRounds
     sequencer: ChangeSequencer
     pending_calls: PendingCalls
+    departure: Departure
     emit: Emit
     adopt_view: Callable[[View, float], None]
     on_committed: Callable[[float], None]
@@ -88,9 +90,11 @@
         self.reply_gate.reply(request.sender.address, self.acceptor.accept(request))
 
     def _on_promise(self, reply: Promise, now: float) -> None:
+        self.departure.on_reply(reply)
         self.proposer.on_promise(reply, now)
 
     def _on_refusal(self, reply: Refusal, now: float) -> None:
+        self.departure.on_reply(reply)
         self.proposer.on_refusal(reply, now)
 
     def _on_accepted(self, reply: Accepted, now: float) -> None:
--- a/roselink/coordination/views.py
+++ b/roselink/coordination/views.py
@@ -64,10 +64,22 @@
 
   The remedy is `roselink disk recover` (docs/operations.md), run by an operator who knows which
   machines will not return.
+
+V6. A live member that is leaving, with a healthy disk, stays in the chain until `tolerated + 1`
+    other members of the planned chain are intact.
+
+  Reason: its process ends once it isn't in the chain, and its machine may be gone for good. Until
+  then it heads the chain or forwards the state like any other member, so a joiner that replaces it
+  receives the state first. If no other member can become intact, the process ends without having
+  left; it then counts as lost, and V3 to V5 hold as for any lost machine.
+
+Which voters the next view has, and why a majority of them stays: Q1 to Q3 in `voter_plan`. When a
+process that leaves may end: D1 in `departure`.
 """
 
 from __future__ import annotations
 
+from dataclasses import replace
 from itertools import combinations
 from typing import TYPE_CHECKING
 
@@ -117,8 +129,10 @@
     """
     if _needs_no_plan(view, peers):
         return None
-    voters = plan_voters(view, peers, policy)
-    chain = _plan_chain(view, voters, peers, policy)
+    voters, chain = _plan_members(view, peers, policy)
+    if chain is None or _intact_count(view, chain, peers) <= policy.tolerated:
+        peers = _with_leaving_replicas_retained(view, peers)
+        voters, chain = _plan_members(view, peers, policy)
     if chain is None or _awaits_state_transfer(view, chain, peers, policy, is_recent=is_recent):
         return None
     proposal = View(view.epoch + 1, voters, chain)
@@ -128,6 +142,30 @@
     return proposal
 
 
+def _plan_members(
+    view: View, peers: Mapping[str, PeerStatus], policy: ViewPolicy
+) -> tuple[tuple[Voter, ...], tuple[ChainReplica, ...] | None]:
+    voters = plan_voters(view, peers, policy)
+    return voters, _plan_chain(view, voters, peers, policy)
+
+
+def _intact_count(
+    view: View, chain: tuple[ChainReplica, ...], peers: Mapping[str, PeerStatus]
+) -> int:
+    """How many members of a planned chain are intact in the current view."""
+    return sum(is_intact(view, peers[replica.voter.address]) for replica in chain)
+
+
+def _with_leaving_replicas_retained(
+    view: View, peers: Mapping[str, PeerStatus]
+) -> Mapping[str, PeerStatus]:
+    """The same statuses, but members of the chain that are leaving count as staying (V6)."""
+    return {
+        address: peer if replica_of(view, peer.voter) is None else replace(peer, leaving=False)
+        for address, peer in peers.items()
+    }
+
+
 def chain_is_reconnected(view: View, peers: Mapping[str, PeerStatus]) -> bool:
     """Whether all machines of the view's chain are eligible and reach each other.
 
@@ -215,9 +253,9 @@
     is_recent: bool,
 ) -> bool:
     """Whether to wait until a member of a proposed chain has received the state (V3)."""
-    members = [peers[replica.voter.address] for replica in chain]
-    if sum(is_intact(view, peer) for peer in members) > policy.tolerated:
+    if _intact_count(view, chain, peers) > policy.tolerated:
         return False
+    members = [peers[replica.voter.address] for replica in chain]
     return any(
         peer.participating
         and peer.epoch == view.epoch
--- a/roselink/simulation/faults.py
+++ b/roselink/simulation/faults.py
@@ -7,7 +7,13 @@
 from typing import TYPE_CHECKING
 
 from roselink.simulation.gateways import REVOKE_S
-from roselink.simulation.machine import QUOTA_PERIOD_S, SAVE_LATENCY_S, ProcessorQuota
+from roselink.simulation.machine import (
+    QUOTA_PERIOD_S,
+    SAVE_LATENCY_S,
+    STOP_LIMIT_S,
+    STOP_POLL_S,
+    ProcessorQuota,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -135,10 +141,8 @@
     """Add the successor first, then have the old machine leave permanently."""
     cluster.add(successor)
     cluster.run(cluster.random.uniform(0.2, 2.0))
-    if victim.member is not None:
-        victim.perform(victim.member.leave(cluster.now))
-    cluster.run_until(lambda: victim.member is None or victim.member.has_left, 1.5)
-    victim.kill()
+    victim.stop()
+    cluster.run_until(lambda: victim.member is None, STOP_LIMIT_S + STOP_POLL_S)
     del cluster.machines[victim.address]
 
 
--- a/roselink/simulation/machine.py
+++ b/roselink/simulation/machine.py
@@ -45,6 +45,10 @@
 LATENCY_FACTORS = (0.7, 1.5)
 # The interval at which a save on a stalled disk is retried, in seconds.
 STALL_POLL_S = 0.05
+# The interval at which a stopping process checks whether it may end, and the time after which it
+# ends in any case, in seconds.
+STOP_POLL_S = 0.02
+STOP_LIMIT_S = 4.0
 # The approximate number of disk operations of one save; a killed process ends at one of them.
 OPERATIONS_PER_SAVE = 14
 FORWARD_TIMEOUT_S = 0.4
@@ -162,6 +166,22 @@
         self._tick(self.process_number)
         self._read_platform(self.process_number)
 
+    def stop(self) -> None:
+        """Have the process leave, and end once it may, as after SIGTERM."""
+        if self.member is None:
+            return
+        self.run(self.process_number, lambda member: member.leave(self.cluster.now))
+        self._end_when_left(self.process_number, self.cluster.now + STOP_LIMIT_S)
+
+    def _end_when_left(self, process_number: int, deadline: float) -> None:
+        if process_number != self.process_number or self.member is None:
+            return
+        now = self.cluster.now
+        if not self.frozen and (now >= deadline or self.member.may_end(now)):
+            self.kill()
+            return
+        self.cluster.after(STOP_POLL_S, partial(self._end_when_left, process_number, deadline))
+
     def kill(self, *, power_loss: bool = False) -> None:
         """End the process at once, possibly during a save.
 
--- a/tests/coordination/test_views.py
+++ b/tests/coordination/test_views.py
@@ -263,6 +263,51 @@
 NEW_C = peer("c", epoch=5, state_epoch=4)
 
 
+LEAVING_B = peer("b", epoch=5, state_epoch=4, leaving=True)
+
+
+@pytest.mark.parametrize(
+    ("view", "peers", "expected"),
+    [
+        pytest.param(
+            GROWN,
+            (peer("a", epoch=5), LEAVING_B, replace(NEW_C, state_epoch=5)),
+            ("abc", "ac"),
+            id="two others are intact",
+        ),
+        pytest.param(
+            SHORT,
+            (AB[0], peer("b", epoch=4, leaving=True), joiner("d")),
+            ("abd", "adb"),
+            id="joiner is synced first",
+        ),
+        pytest.param(
+            SHORT,
+            (AB[0], peer("b", epoch=4, leaving=True, live=False), joiner("d")),
+            ("abd", "ad"),
+            id="leaving member is not live",
+        ),
+        pytest.param(
+            SHORT,
+            (AB[0], peer("b", epoch=4, leaving=True, disk_ok=False), joiner("d")),
+            ("abd", "ad"),
+            id="leaving member's disk is unhealthy",
+        ),
+        pytest.param(
+            SHORT,
+            (AB[0], peer("b", epoch=4, leaving=True)),
+            None,
+            id="no other machine",
+        ),
+    ],
+)
+def test_leaving_member_stays_until_enough_others_are_intact(
+    view: View, peers: tuple[PeerStatus, ...], expected: tuple[str, str] | None
+) -> None:
+    """V6: otherwise one more lost disk would lose what was acknowledged."""
+    assert planned(view, 1, *peers) == expected
+
+
 # Two machines joined between the head and the tail; c forwards the state to d.
 WIDE = View(
     5,
--- a/tests/mutations/coordination.py
+++ b/tests/mutations/coordination.py
@@ -34,6 +34,11 @@
             "since = view.epoch + 1 if replica is None",
             "since = 1 if replica is None",
         ),
+        (
+            "a leaving member is dropped before enough others are intact",
+            "if chain is None or _intact_count(view, chain, peers) <= policy.tolerated:",
+            "if chain is None:",
+        ),
         (
             "a chain with too few intact members does not wait",
             "chain is None or "
@@ -69,6 +74,21 @@
     *mutations_of(
         "coordination/voter_plan.py",
         COORDINATION,
+        (
+            "a leaving voter stays a voter",
+            "return _first_leaving(voters, peers) if absent is None else absent",
+            "return absent",
+        ),
+        (
+            "a process that leaves never waits for a majority of those that stay",
+            "return len(staying) > policy.tolerated and",
+            "return False and",
+        ),
+        (
+            "a process waits for a majority that can't come",
+            "return len(staying) > policy.tolerated and",
+            "return",
+        ),
         (
             "any voter is replaced by a joiner",
             "return index if longest_s >= timeout_s else None",
@@ -76,7 +96,7 @@
         ),
         (
             "voters are removed below the tolerated minimum",
-            "len(voters) > 2 * policy.tolerated + 1",
+            "len(voters) > required_voters(policy)",
             "len(voters) > 1",
         ),
         (
@@ -85,6 +105,36 @@
             "if peer.eligible and",
         ),
     ),
+    *mutations_of(
+        "coordination/departure.py",
+        COORDINATION,
+        (
+            "a process ends once it knows the view alone",
+            "return len(self._stored_by.intersection(view.voters)) >= majority(view)",
+            "return True",
+        ),
+        (
+            "replies about a former view end a process",
+            "            self._stored_by = set()\n",
+            "",
+        ),
+        (
+            "a process ends while it is a voter that could be dropped",
+            "return self.voter not in view.voters or "
+            "len(view.voters) <= required_voters(self.policy)",
+            "return True",
+        ),
+        (
+            "a process ends while it is in the chain",
+            "if replica_of(view, self.voter) is not None:",
+            "if False:",
+        ),
+        (
+            "any reply counts as one to the question",
+            "if self.requested and reply.epoch == self._epoch + 1:",
+            "if self.requested:",
+        ),
+    ),
     *mutations_of(
         "coordination/acceptor.py",
         COORDINATION,
