--- a/roselink/controller/app.py
+++ b/roselink/controller/app.py
@@ -228,8 +228,11 @@
                 return
 
     def _update_reader_role(self) -> None:
-        """Read the host list only while this member is the tail of the active view."""
-        if self._host_list_client is not None and self._chain is not None and not self._stopping:
+        """Read the host list only while this member is the tail of the active view.
+
+        A tail that is stopping goes on: no other member reads the list before it has left.
+        """
+        if self._host_list_client is not None and self._chain is not None:
             self._host_list_client.set_role(self._chain.epoch if self._chain.is_tail else None)
 
     def _handle(self, peer: Address, message: object, reply: ReplySender) -> None:
@@ -260,8 +263,6 @@
             self._admin_port.stopListening()
         if self._api is not None:
             self._api.stop()
-        if self._host_list_client is not None:
-            self._host_list_client.close()
         grace_s = self._settings.thresholds.grace_s
         deadline = self._loop.time() + min(MAX_STOP_S, grace_s * STOP_GRACE_FRACTION)
         while self._api is not None and self._api.in_flight and self._loop.time() < deadline:
@@ -272,6 +273,8 @@
                     await self._chain.stop()
             except TimeoutError:
                 log.warning("chain_leave_timed_out")
+        if self._host_list_client is not None:
+            self._host_list_client.close()
         self._server.close()
         self._pool.close()
         log.info("core_stopped")
--- a/tests/controller/single_member_core.py
+++ b/tests/controller/single_member_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 import types
 from typing import TYPE_CHECKING, Any
@@ -20,11 +21,12 @@
 from roselink.model.settings import ProcessSettings, load_settings
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Callable
 
     from roselink.protocol.peer_pool import PeerPool
 
+# A multiple of the interval at which the host list is read, in seconds.
+SLOW_LEAVE_S = 1.5
 START_BEHAVIOUR = sys.argv[2] if len(sys.argv) > 2 else "succeeds"
 
 
@@ -53,7 +55,8 @@
         raise error
 
     async def stop(self) -> None:
-        pass
+        if START_BEHAVIOUR == "leaves slowly":
+            await asyncio.sleep(SLOW_LEAVE_S)
 
     def handle(self, peer: Address, message: object, reply: Callable[[Any], None]) -> bool:
         return False
--- a/tests/controller/test_app.py
+++ b/tests/controller/test_app.py
@@ -205,6 +205,26 @@
     run_on_reactor(work())
 
 
+def test_a_tail_that_stops_reads_the_host_list_until_it_has_left(tmp_path: Path) -> None:
+    """Nobody read the list from SIGTERM until the next view: drained hosts went unnoticed."""
+
+    async def work() -> None:
+        platform = FakePlatform({"": page_body(host_entry())})
+        core = CoreProcess(tmp_path, await platform.start())
+        await core.start("leaves slowly")
+        assert core.process is not None
+        core.process.send_signal(signal.SIGTERM)
+        await core.wait_for_event("core_stopping")
+        read_before = len(platform.requests)
+        await core.wait_for_event("core_stopped")
+        assert len(platform.requests) > read_before
+        assert await core.process.wait() == 0
+        core.pool.close()
+        platform.stop()
+
+    run_on_reactor(work())
+
+
 def test_a_reload_has_the_real_chain_send_heartbeats_to_the_new_seeds(tmp_path: Path) -> None:
     """Members never connected to changed seeds, so machines known only from them could not join.
 
