--- a/roselink/simulation/command.py
+++ b/roselink/simulation/command.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING
 
 from roselink.simulation.scenarios import (
-    ScenarioResult,
     run_fault_episodes,
     run_overlapping_faults,
     run_scenario_of_seed,
@@ -20,6 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from roselink.simulation.scenario import ScenarioResult
+
 # The largest core that tolerates the loss of one machine; a larger one tolerates two.
 MAX_MACHINES_TOLERATING_ONE = 4
 
--- a/tests/cli/test_simulate.py
+++ b/tests/cli/test_simulate.py
@@ -14,7 +14,7 @@
 from roselink.simulation.history import Violation
 
 if TYPE_CHECKING:
-    from roselink.simulation.scenarios import ScenarioResult
+    from roselink.simulation.scenario import ScenarioResult
 
 
 def test_a_day_without_violations_exits_with_status_0(capsys: pytest.CaptureFixture[str]) -> None:
--- a/tests/simulation/test_departures.py
+++ b/tests/simulation/test_departures.py
@@ -13,7 +13,7 @@
 from roselink.coordination.effects import ChangeCommitted
 from roselink.coordination.views import majority
 from roselink.simulation.cluster import Cluster
-from roselink.simulation.scenarios import in_chain, read
+from roselink.simulation.scenario import in_chain, read
 from tests.simulation.test_scenarios import change_on, idle_cluster, submit
 
 if TYPE_CHECKING:
--- a/tests/simulation/test_scenarios.py
+++ b/tests/simulation/test_scenarios.py
@@ -12,9 +12,8 @@
 from roselink.protocol.chain import ConfigurationChange
 from roselink.simulation.cluster import Cluster
 from roselink.simulation.faults import Fault, inject_fault, limit_processors, repair
+from roselink.simulation.scenario import in_chain, read
 from roselink.simulation.scenarios import (
-    in_chain,
-    read,
     run_bit_rot,
     run_fault_episodes,
     run_long_partition,
