--- a/roselink/simulation/exceptions.py
+++ b/roselink/simulation/exceptions.py
@@ -242,6 +242,31 @@
         super().__init__("a refused change is in force on a member's disk", change)
 
 
+class RejectedChangeError(ChangeStateError):
+    """A core without faults did not confirm a change on its newest configuration."""
+
+    code = "SIM-020"
+
+    def __init__(self, change: Change) -> None:
+        """Store the change."""
+        super().__init__("the core did not confirm a change at the end", change)
+
+
+class GatewayNotServingError(ScenarioError):
+    """A gateway does not serve at the end of a scenario.
+
+    Attributes:
+        name: the name of the gateway.
+    """
+
+    code = "SIM-021"
+
+    def __init__(self, name: str) -> None:
+        """Store the name of the gateway."""
+        super().__init__(f"{name} does not have the last change, or may not use its keys")
+        self.name = name
+
+
 class StandardLibraryError(SimulationError, AssertionError):
     """A module of the standard library that the simulation loads a second time can't be found.
 
--- a/roselink/simulation/scenario.py
+++ b/roselink/simulation/scenario.py
@@ -21,6 +21,7 @@
 from roselink.simulation.gateways import REVOKE_S, Gateway
 from roselink.simulation.history import CallResult, HistoryChecker, Observation, Violation
 from roselink.simulation.linearizability import is_linearizable, operations_of
+from roselink.simulation.service_check import check_service
 
 if TYPE_CHECKING:
     from roselink.coordination.effects import Confirmation
@@ -73,19 +74,27 @@
             reader.stopped = True
 
     def check(self) -> ScenarioResult:
-        """Check every member's state and the complete history; all faults must be repaired.
+        """Check that the core serves, every member's state and the complete history.
+
+        All faults must be repaired.
 
         Raises:
-            ScenarioError: no chain is active, a machine did not recover, a confirmed change is
-                lost, or the history is impossible for one linearizable register.
+            ScenarioError: no chain is active, a machine did not recover, no change was confirmed
+                or reached a gateway, a confirmed change is lost, a refused one is in force, a
+                gateway's host list went back, or the history is impossible for one linearizable
+                register.
         """
         cluster = self.cluster
         history = cluster.history
         if cluster.active_tail() is None:
             raise NoActiveChainError
-        for machine in cluster.running_machines():
+        running = cluster.running_machines()
+        for machine in running:
             if not in_chain(cluster, machine):
                 raise NotRecoveredError(machine.address)
+        newest = record_confirmed_read(cluster, running[0])
+        check_service(cluster, running[0], newest, self.gateways)
+        for machine in running:
             record_confirmed_read(cluster, machine)
             _check_state(cluster, machine)
         violations = tuple(HistoryChecker(history, REVOKE_S).violations())
@@ -117,7 +126,7 @@
     return outcomes[0]
 
 
-def record_confirmed_read(cluster: Cluster, machine: Machine) -> None:
+def record_confirmed_read(cluster: Cluster, machine: Machine) -> Confirmation:
     """Read at one machine, and record the result in the history.
 
     Raises:
@@ -130,6 +139,7 @@
     change = change_of(cluster, confirmation.document)
     cluster.record_observed(confirmation.sequence, change.name if change is not None else None)
     cluster.history.observations.append(Observation(started_at, cluster.now, change))
+    return confirmation
 
 
 def in_chain(cluster: Cluster, machine: Machine) -> bool:
