--- a/roselink/coordination/departure.py
+++ b/roselink/coordination/departure.py
@@ -10,6 +10,9 @@
   voters is at least t + 1. What was acknowledged is on the disks of t + 1 members of the new chain
   (V6 in `views`).
 
+  A machine that is in no view yet may be added by a view that is in flight when it ends. It then is
+  one of the voters that Q4 in `voter_plan` doesn't count on, and is dropped like a lost one.
+
   It isn't enough that this process knows the view. It may be the one that decided it, and the only
   one: its peers would then still count it among the voters whose majority they need.
 
--- a/tests/mutations/coordination.py
+++ b/tests/mutations/coordination.py
@@ -74,6 +74,11 @@
     *mutations_of(
         "coordination/voter_plan.py",
         COORDINATION,
+        (
+            "voters that are added are a majority",
+            "return len(voters) < MAX_VOTERS and 2 * former > len(voters) + 1",
+            "return len(voters) < MAX_VOTERS",
+        ),
         (
             "a leaving voter stays a voter",
             "return _first_leaving(voters, peers) if absent is None else absent",
