--- a/roselink/simulation/initial_states.py
+++ b/roselink/simulation/initial_states.py
@@ -75,6 +75,21 @@
     return system
 
 
+def members_leaving() -> System:
+    """Two of three members leave; only one of them knows that a view without them is decided.
+
+    No loss is tolerated, so that one voter suffices.
+    """
+    system = System(tolerated=0)
+    system.begin()
+    run_to_quiescence(system)
+    system.leave("a:1")
+    system.leave("b:1")
+    system.propose("b:1", without="")
+    deliver_only(system, Prepare, Promise, Accept, Accepted)
+    return system
+
+
 def member_joining() -> System:
     """The tail lost its disk, and the view that adds it again has just been decided."""
     system = idle_system()
--- a/roselink/simulation/machine.py
+++ b/roselink/simulation/machine.py
@@ -166,21 +166,29 @@
         self._tick(self.process_number)
         self._read_platform(self.process_number)
 
-    def stop(self) -> None:
-        """Have the process leave, and end once it may, as after SIGTERM."""
+    def stop(self, ended: Callable[[], object] = lambda: None) -> None:
+        """Have the process leave, and end once it may, as after SIGTERM.
+
+        Args:
+            ended: called when the process has ended, unless it was killed.
+        """
         if self.member is None:
             return
         self.run(self.process_number, lambda member: member.leave(self.cluster.now))
-        self._end_when_left(self.process_number, self.cluster.now + STOP_LIMIT_S)
+        self._end_when_left(self.process_number, self.cluster.now + STOP_LIMIT_S, ended)
 
-    def _end_when_left(self, process_number: int, deadline: float) -> None:
+    def _end_when_left(
+        self, process_number: int, deadline: float, ended: Callable[[], object]
+    ) -> None:
         if process_number != self.process_number or self.member is None:
             return
         now = self.cluster.now
         if not self.frozen and (now >= deadline or self.member.may_end(now)):
             self.kill()
+            ended()
             return
-        self.cluster.after(STOP_POLL_S, partial(self._end_when_left, process_number, deadline))
+        again = partial(self._end_when_left, process_number, deadline, ended)
+        self.cluster.after(STOP_POLL_S, again)
 
     def kill(self, *, power_loss: bool = False) -> None:
         """End the process at once, possibly during a save.
--- a/roselink/simulation/packing.py
+++ b/roselink/simulation/packing.py
@@ -55,6 +55,7 @@
         view: the view that the process follows.
         is_head: whether the process is the head of that view's chain.
         saving: whether any save is not durable yet.
+        has_left: whether the process is leaving, and may end.
         acceptor_state: the record with the acceptor state on the disk; empty if there is none.
         state: the record with the configuration state on the disk; empty if there is none.
         durable_history: the history that the process considers durable.
@@ -65,6 +66,7 @@
     view: View | None
     is_head: bool
     saving: bool
+    has_left: bool
     acceptor_state: bytes
     state: bytes
     durable_history: bytes
@@ -91,6 +93,7 @@
         view=member.view,
         is_head=member.chain.is_head,
         saving=bool(machine.saves),
+        has_left=member.departure.requested and member.has_left,
         acceptor_state=machine.disk.get(Store.ACCEPTOR, b""),
         state=machine.disk.get(Store.STATE, b""),
         durable_history=member.chain.durable.history,
@@ -163,6 +166,7 @@
         member.reads,
         member.sequencer,
         member.pending_calls,
+        member.departure,
     )
     return _hashable_items(components)
 
--- a/roselink/simulation/scenarios.py
+++ b/roselink/simulation/scenarios.py
@@ -24,6 +24,7 @@
     replace_as_planned,
     restart_all,
 )
+from roselink.simulation.membership_changes import run_membership_changes
 from roselink.simulation.scenario import Scenario, ScenarioResult
 
 if TYPE_CHECKING:
@@ -212,6 +213,7 @@
     5: run_split_brain,
     7: run_bit_rot,
     9: run_processor_quota,
+    11: run_membership_changes,
 }
 
 
