--- a/roselink/coordination/departure.py
+++ b/roselink/coordination/departure.py
@@ -10,9 +10,6 @@
   voters is at least t + 1. What was acknowledged is on the disks of t + 1 members of the new chain
   (V6 in `views`).
 
-  A machine that is in no view yet may be added by a view that is in flight when it ends. It then is
-  one of the voters that Q4 in `voter_plan` doesn't count on, and is dropped like a lost one.
-
   It isn't enough that this process knows the view. It may be the one that decided it, and the only
   one: its peers would then still count it among the voters whose majority they need.
 
@@ -24,6 +21,14 @@
   could drop them. If too few machines stay for a chain, all of the core is being restarted: the
   processes return with their disks, and have the majority that they had.
 
+D3. A process that has left is in no view that was in flight when it asked: it ends only if no voter
+    that replied had promised a round of a proposal.
+
+  Reason: a machine that was about to join is in the next view if that view was planned before its
+  planner learned that the machine leaves, and would be one of its voters after its end. A voter
+  learns that the machine leaves before it gets the question, by the same connection, and plans no
+  view with it afterwards. A promise that led to no view delays the process until D2.
+
 The question whether a voter has the view on disk is the first phase of Paxos for the next epoch, at
 a round below that of every proposal. An acceptor replies to it, with a promise or a refusal, only
 once its view is on disk (A1 in `acceptor`), and the promise excludes no proposal.
@@ -72,6 +77,7 @@
     _requested_at: float = 0.0
     _epoch: int = 0
     _stored_by: set[Voter] = field(default_factory=set)
+    _rounds_at: set[Voter] = field(default_factory=set)
     _asked_at: float = float("-inf")
 
     def request(self, now: float) -> None:
@@ -91,6 +97,7 @@
         if view.epoch != self._epoch:
             self._epoch = view.epoch
             self._stored_by = set()
+            self._rounds_at = set()
             self._asked_at = float("-inf")
         if now - self._asked_at < QUESTION_INTERVAL_S:
             return
@@ -101,9 +108,15 @@
                 self.emit(Send(voter.address, Prepare(self.voter, view.epoch + 1, ballot)))
 
     def on_reply(self, reply: Promise | Refusal) -> None:
-        """Count a voter of the view that was asked about: it has that view on disk."""
-        if self.requested and reply.epoch == self._epoch + 1:
-            self._stored_by.add(reply.sender)
+        """Count a voter of the view that was asked about: it has that view on disk.
+
+        A refusal for the sake of another question counts like a promise.
+        """
+        if not self.requested or reply.epoch != self._epoch + 1:
+            return
+        self._stored_by.add(reply.sender)
+        if isinstance(reply, Refusal) and reply.promised.round != QUESTION_ROUND:
+            self._rounds_at.add(reply.sender)
 
     def is_complete(self, view: View | None) -> bool:
         """Whether the process may end (D1); `view` is the newest that it knows."""
@@ -111,7 +124,9 @@
             return True
         if not self._is_dropped_by(view) or view.epoch != self._epoch:
             return False
-        return len(self._stored_by.intersection(view.voters)) >= majority(view)
+        return not self._rounds_at and (
+            len(self._stored_by.intersection(view.voters)) >= majority(view)
+        )
 
     def _is_dropped_by(self, view: View) -> bool:
         if replica_of(view, self.voter) is not None:
--- a/roselink/coordination/voter_plan.py
+++ b/roselink/coordination/voter_plan.py
@@ -23,11 +23,6 @@
     former view can't be decided, since a majority of that view's voters has the acceptance of this
     one on disk (A1 in `acceptor`), and every majority of them has one of these. A tail of the
     former view confirms no read for the same reason (C1 in `reads`).
-
-Q4. The voters of the former view that stay are a majority of the voters that are agreed next, but
-    for joiners that replace departing voters. So joiners that are added and end at once, before
-    they know that they are voters, don't deprive the view of its majority. (A lone voter is an
-    exception: it gets one more at a time.)
 """
 
 from __future__ import annotations
@@ -52,7 +47,7 @@
 def plan_voters(
     view: View, peers: Mapping[str, PeerStatus], policy: ViewPolicy
 ) -> tuple[Voter, ...]:
-    """The voters of the next view: each joiner replaces a departing voter, or is added (Q1, Q4)."""
+    """The voters of the next view: each joiner replaces a departing voter, or is added (Q1)."""
     voters = list(view.voters)
     joiners = [
         peer.voter
@@ -69,7 +64,7 @@
         departing = _departing_voter(voters, peers, policy)
         if departing is not None:
             voters[departing] = joiner
-        elif _may_add_voter(view, voters):
+        elif len(voters) < MAX_VOTERS:
             voters.append(joiner)
     while len(voters) > required_voters(policy):
         departing = _departing_voter(voters, peers, policy)
@@ -79,14 +74,6 @@
     return tuple(voters)
 
 
-def _may_add_voter(view: View, voters: list[Voter]) -> bool:
-    """Whether the former voters stay a majority with one more (Q4); none of them departs."""
-    if len(voters) == 1:
-        return True
-    former = sum(voter in view.voters for voter in voters)
-    return len(voters) < MAX_VOTERS and 2 * former > len(voters) + 1
-
-
 def staying_voters_lack_majority(
     view: View, peers: Mapping[str, PeerStatus], policy: ViewPolicy
 ) -> bool:
