--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -4,6 +4,9 @@
 of a parametrized case covers all cases of its test. The options go to standard output; the lines of
 the file and errors go to standard error. A line is an error (exit status 1) if it lacks a field,
 matches no test, or would deselect other tests too, since pytest compares the beginnings of ids.
+
+A line `command: COMMAND | SEED | SEEN | ISSUE` is a case outside the test run. It is printed, and
+deselects nothing.
 """
 
 from __future__ import annotations
@@ -17,12 +20,17 @@
 ROOT = Path(__file__).resolve().parent.parent
 LIST_PATH = ROOT / "KNOWN-RED.txt"
 FIELD_COUNT = 3
+COMMAND_PREFIX = "command: "
+COMMAND_FIELD_COUNT = 4
 
 
 def parse_list(text: str) -> list[str]:
     """Return the tests that the file lists; raise ValueError for a line that lacks a field."""
     tests = []
     for line in filter(None, map(str.strip, text.splitlines())):
+        if line.startswith(COMMAND_PREFIX.strip()):
+            check_command_line(line)
+            continue
         fields = [field.strip() for field in line.rsplit(", ", FIELD_COUNT - 1)]
         if len(fields) < FIELD_COUNT or not all(fields):
             message = f"a line needs test, cause and issue: {line!r}"
@@ -31,6 +39,14 @@
     return tests
 
 
+def check_command_line(line: str) -> None:
+    """Raise ValueError unless the line has a command, its seed, what was seen and an issue."""
+    fields = [field.strip() for field in line.removeprefix(COMMAND_PREFIX.strip()).split(" | ")]
+    if len(fields) != COMMAND_FIELD_COUNT or not all(fields):
+        message = f"a line needs command, seed, what was seen and issue: {line!r}"
+        raise ValueError(message)
+
+
 def entry_errors(tests: list[str], collected: list[str]) -> list[str]:
     """Return an error for each entry without a test, and for each other test that it deselects."""
     errors = []
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -30,6 +30,8 @@
         ("\n\n", []),
         ("tests/a.py::test_a, it hangs, #3\n", ["tests/a.py::test_a"]),
         ("a::b, one, two and three, #3\n\nc::d[x-1], y, #4", ["a::b", "c::d[x-1]"]),
+        ("command: ./run --soak | 1 to 5 | it hangs, each time | #3\n", []),
+        ("command: ./run | 1 | it hangs | #3\na::b, cause, #3", ["a::b"]),
     ],
 )
 def test_list_is_parsed(known_red: ModuleType, text: str, tests: list[str]) -> None:
@@ -42,6 +44,21 @@
         known_red.parse_list(text)
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        "command: ./run | 1 | it hangs",
+        "command: ./run | 1 |  | #3",
+        "command: | 1 | it hangs | #3",
+        "command:./run, it hangs, #3",
+        "command: ./run | 1 | it hangs | #3 | more",
+    ],
+)
+def test_incomplete_line_of_a_command_is_rejected(known_red: ModuleType, text: str) -> None:
+    with pytest.raises(ValueError, match="needs command, seed, what was seen and issue"):
+        known_red.parse_list(text)
+
+
 COLLECTED = [
     "a.py::one",
     "a.py::one_more",
