--- a/roselink/budgets/quota_owner.py
+++ b/roselink/budgets/quota_owner.py
@@ -6,6 +6,17 @@
 known, the bucket starts empty and receives, besides its refill, only a start credit, a fraction of
 the allowance (`QuotaRule`): gateways that have left cannot report, and may have used any amount.
 
+B1. Whatever limits follow each other in a term, in any window the bucket gains at most the greatest
+    burst in force in that window plus the refill at the limits' rates, beside its start credit.
+
+  Proof. Let the window be (x, x + W] with changes of the limit at t1 < t2 < ... in it, and let m(t)
+  be the greatest burst in force in (t - W, t]. The level at x is at most the burst in force then,
+  b0. The change at ti to burst bi adds max(0, bi - m(ti)). As x >= ti - W, m(ti) is at least each
+  of b0, ..., b(i-1): the additions are at most the increases of the running maximum of b0, b1,
+  ..., so b0 and all additions together are at most the greatest of them. Nothing else but refill
+  and start credit raises the level: what requesters return was taken before, and a level that they
+  report is that of the previous owner's bucket, in place of the assumed one.
+
 A requester that sends no quota requests may be unreachable and admit amounts locally at its recent
 rate (`local_admission`): the owner reserves that amount and withholds it from the others. A new
 owner does the same for usage that the previous owner counted and no requester has reported yet.
@@ -21,6 +32,7 @@
     START_FRACTION,
     QuotaLimit,
     QuotaRule,
+    RecentMaximum,
     UsageWindow,
 )
 from roselink.protocol.budgets import (
@@ -78,15 +90,17 @@
 class _TenantBucket:
     """The token bucket of one tenant in this owner's term.
 
-    `level` assumes that the previous owner's bucket had `baseline_level` at `baseline_at`; a newer
-    report corrects that assumption. `previous_level_at` is when a requester received that owner's
-    newest known level; `previous_usage` is the usage of all gateways in the window that ended then,
-    as that owner counted it, and `reported_usage` the usage that requesters have reported in this
-    term. `start_credit` is the credit that the bucket receives unless a level no older than
+    `recent_burst` is the greatest burst in force in the last window. `level` assumes that the
+    previous owner's bucket had `baseline_level` at `baseline_at`; a newer report corrects that
+    assumption. `previous_level_at` is when a requester received that owner's newest known
+    level; `previous_usage` is the usage of all gateways in the window that ended then, as that
+    owner counted it, and `reported_usage` the usage that requesters have reported in this term.
+    `start_credit` is the credit that the bucket receives unless a level no older than
     `LEVEL_VALID_S` is reported, and `credit_gained` the part of it received so far.
     """
 
     limit: QuotaLimit
+    recent_burst: RecentMaximum
     term: int
     updated_at: float
     level: float
@@ -154,9 +168,14 @@
         return reserved
 
     def change_limit(self, limit: QuotaLimit, now: float) -> None:
-        """Apply a new limit: added burst is available immediately, a lower one caps the level."""
+        """Apply a new limit: a lower burst caps the level.
+
+        What a burst adds to the greatest one of the last window is available immediately (B1).
+        """
         self.refill(now)
-        self.level = min(limit.burst, self.level + max(0.0, limit.burst - self.limit.burst))
+        added = max(0.0, limit.burst - self.recent_burst.maximum(now))
+        self.recent_burst.set(limit.burst, now)
+        self.level = min(limit.burst, self.level + added)
         self.limit = limit
 
     def _refilled(self, level: float, after_s: float) -> float:
@@ -259,6 +278,7 @@
         self._last_term += 1
         return _TenantBucket(
             limit,
+            RecentMaximum(self._rule.window_s, limit.burst),
             self._last_term,
             updated_at=now,
             level=0.0,
--- a/roselink/budgets/usage.py
+++ b/roselink/budgets/usage.py
@@ -53,6 +53,30 @@
         return self.over * (limit.rate_per_s * self.window_s + limit.burst) + self.slack
 
 
+class RecentMaximum:
+    """The greatest value that a quantity has had in the last `window_s` seconds."""
+
+    __slots__ = ("_former", "_window_s", "value")
+
+    def __init__(self, window_s: float, value: float) -> None:
+        """Start with a value, as if there had been no other before."""
+        self.value = value
+        self._window_s = window_s
+        # (when it ended, value), oldest first
+        self._former: deque[tuple[float, float]] = deque()
+
+    def set(self, value: float, now: float) -> None:
+        """Replace the value."""
+        self._former.append((now, self.value))
+        self.value = value
+
+    def maximum(self, now: float) -> float:
+        """The greatest of the value and of those that ended within the window."""
+        while self._former and self._former[0][0] < now - self._window_s:
+            self._former.popleft()
+        return max([self.value, *(value for _, value in self._former)])
+
+
 class UsageWindow:
     """Amounts of the last `window_s` seconds, summed by slots of `SLOT_S`.
 
--- a/tests/budgets/test_quota_owner.py
+++ b/tests/budgets/test_quota_owner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from roselink.budgets import quota_owner as module
 from roselink.budgets.quota_owner import QuotaOwner
@@ -268,3 +270,72 @@
     owner.configure({"t": QuotaLimit(0.0, 100.0)}, 10.0)
     owner.set_owned(["t"], (A,), 10.0)
     assert owner.decide(request(1.0), 10.0) == QuotaReply(ReplyStatus.NOT_READY, 5)
+
+
+def admitted_greedily(owner: QuotaOwner, now: float) -> float:
+    """Request small amounts until one is refused; returns the sum of those admitted."""
+    reply = owner.decide(request(*[5.0] * 60), now)
+    return 5.0 * sum(reply.admitted)
+
+
+def test_burst_that_is_lowered_and_restored_is_not_granted_anew() -> None:
+    """A tenant got its whole burst again each time its limit was lowered and restored."""
+    owner = full_owner()
+    assert owner.decide(request(100.0), 10.0).admitted == (True,)
+    for turn in range(4):
+        owner.configure({"t": QuotaLimit(100.0, 10.0)}, 10.0 + turn)
+        owner.configure({"t": LIMIT}, 10.0 + turn)
+        assert admitted_greedily(owner, 10.0 + turn) <= (100.0 if turn else 0.0) + 5.0
+
+
+def test_burst_above_the_greatest_of_the_last_window_is_available_immediately() -> None:
+    owner = full_owner()
+    assert owner.decide(request(100.0), 10.0).admitted == (True,)
+    owner.configure({"t": QuotaLimit(100.0, 10.0)}, 10.0)
+    owner.configure({"t": QuotaLimit(100.0, 160.0)}, 10.0)
+    assert owner.decide(request(60.0), 10.0).admitted == (True,)
+    assert owner.decide(request(1.0), 10.0).admitted == (False,)
+
+
+def test_burst_is_available_again_once_the_former_one_is_older_than_a_window() -> None:
+    owner = full_owner()
+    owner.configure({"t": QuotaLimit(1.0, 10.0)}, 10.0)
+    assert owner.decide(request(10.0), 10.0).admitted == (True,)
+    owner.configure({"t": QuotaLimit(1.0, 100.0)}, 10.0 + EXACT.window_s + 0.1)
+    assert owner.decide(request(90.0), 10.0 + EXACT.window_s + 0.1).admitted == (True,)
+
+
+LIMITS = st.sampled_from([10.0, 40.0, 100.0, 250.0])
+PAUSES_S = st.sampled_from([0.0, 0.1, 0.5, 1.0, 3.0, 7.9, 8.1])
+
+
+@given(st.lists(st.tuples(PAUSES_S, LIMITS, LIMITS), min_size=1, max_size=12))
+def test_no_series_of_limits_admits_more_than_the_greatest_in_any_window(
+    changes: list[tuple[float, float, float]],
+) -> None:
+    """B1, for a tenant that requests all that it can get after each change and each 0.25 s."""
+    owner = full_owner()
+    now = 10.0
+    in_force = [(0.0, LIMIT)]
+    admitted = [(now, admitted_greedily(owner, now))]
+    for pause_s, rate_per_s, burst in changes:
+        end = now + pause_s
+        while now < end:
+            now = min(end, now + 0.25)
+            admitted.append((now, admitted_greedily(owner, now)))
+        in_force.append((now, QuotaLimit(rate_per_s, burst)))
+        owner.configure({"t": in_force[-1][1]}, now)
+        admitted.append((now, admitted_greedily(owner, now)))
+    for start, _ in admitted:
+        end = start + EXACT.window_s
+        used = sum(amount for at, amount in admitted if start <= at < end)
+        limits = [
+            limit
+            for (begun, limit), (ended, _) in zip(
+                in_force, [*in_force[1:], (float("inf"), LIMIT)], strict=True
+            )
+            if begun < end and ended >= start
+        ]
+        rate_per_s = max(limit.rate_per_s for limit in limits)
+        burst = max(limit.burst for limit in limits)
+        assert used <= rate_per_s * EXACT.window_s + burst + 0.001
--- a/tests/mutations/budgets.py
+++ b/tests/mutations/budgets.py
@@ -46,6 +46,11 @@
     *mutations_of(
         "budgets/quota_owner.py",
         BUDGETS,
+        (
+            "a burst that is lowered and restored is granted anew",
+            "limit.burst - self.recent_burst.maximum(now)",
+            "limit.burst - self.limit.burst",
+        ),
         (
             "admitted amounts are not taken from the bucket",
             "                bucket.take(amount)\n                requester",
