--- a/roselink/dataplane/fleet_host_connection.py
+++ b/roselink/dataplane/fleet_host_connection.py
@@ -2,11 +2,18 @@
 
 Unlike `HostConnection`, it streams bodies, sets no time-out between the parts of a response, and
 recognises responses to other requests by their id.
+
+I1. No connection carries two attempts of one request within `CARRIED_REQUESTS`.
+
+  Reason: a host may send a second copy of its response when the next one is due, and only the id
+  tells them apart. It names the request and not the attempt, so a late copy of a rejection would be
+  taken for the response to the next attempt, which the host runs.
 """
 
 from __future__ import annotations
 
 import socket
+from collections import deque
 from contextlib import suppress
 from typing import TYPE_CHECKING, Protocol
 
@@ -39,6 +46,8 @@
 KEEPALIVE_PROBES = 2
 # Surplus responses, which belong to other requests, that may precede the expected one.
 SURPLUS_LIMIT = 2
+# Requests of which a connection remembers that it carried them.
+CARRIED_REQUESTS = 16
 # Idle limit for hosts that state none; such hosts close idle connections within one second.
 DEFAULT_IDLE_S = 0.4
 # Digits of the idle time in a `Keep-Alive` header, in seconds.
@@ -124,6 +133,7 @@
         self._bytes_since_progress = self._surplus_count = self._sent_bytes = 0
         self._in_surplus = self._head_is_new = self._reading_paused = False
         self._idle_limit_s = DEFAULT_IDLE_S
+        self._carried: deque[bytes] = deque(maxlen=CARRIED_REQUESTS)
         super().__init__(pool, host)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -144,6 +154,7 @@
         """Write a request for an attempt."""
         assert isinstance(attempt, FleetAttempt)
         attempt.sent = True
+        self._carried.append(attempt.request_id)
         self._surplus_count = 0
         self._bytes_since_progress = 0
         self._head_is_new = False
@@ -169,6 +180,10 @@
             if not self.closing() and self.transport is not None:
                 self.transport.resume_reading()
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Whether it has carried an attempt of this request (I1)."""
+        return request_id in self._carried
+
     def stale(self) -> bool:
         """Whether it has been idle so long that the host may have closed it."""
         return self.pool.now() - self.idle_since > self._idle_limit_s
--- a/roselink/dataplane/fleet_host_pool.py
+++ b/roselink/dataplane/fleet_host_pool.py
@@ -48,10 +48,14 @@
         return FleetHostConnection(self, host)
 
     def _may_carry(self, attempt: Attempt, connection: HostConnection) -> bool:
-        non_repeatable = isinstance(attempt, FleetAttempt) and attempt.non_repeatable
+        assert isinstance(attempt, FleetAttempt)
+        assert isinstance(connection, FleetHostConnection)
+        if connection.stale():
+            return True  # the pool takes it out and drops it
+        if connection.has_carried(attempt.request_id):
+            return False
         fresh = self.now() - connection.idle_since <= NON_REPEATABLE_IDLE_LIMIT_S
-        # A stale connection passes: the pool takes it out and drops it.
-        return not non_repeatable or fresh or connection.stale()
+        return fresh or not attempt.non_repeatable
 
     def _may_connect(self, host: PooledHost) -> bool:
         assert isinstance(host, FleetHost)
--- a/tests/dataplane/test_fleet_host_pool.py
+++ b/tests/dataplane/test_fleet_host_pool.py
@@ -106,6 +106,45 @@
         assert len(harness.hosts[0].writers) == connections
 
 
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x", "/plan/x"])
+@on_loop
+async def test_request_is_not_sent_again_on_the_connection_on_which_it_was_rejected(
+    path: str,
+) -> None:
+    """A late copy of a rejection was taken for the response to the next attempt, which ran."""
+    reject = respond_not_executed("503 Full", "X-Not-Executed: 1", KEEP_ALIVE)
+    serve = stream(2) if path == "/plan/x" else respond(b"ran", "200 OK", KEEP_ALIVE)
+    rejected_on: list[asyncio.StreamWriter] = []
+    runs: list[Message] = []
+
+    async def behave(message: Message, writer: asyncio.StreamWriter) -> None:
+        if not rejected_on:
+            rejected_on.append(writer)
+            await reject(message, writer)
+            return
+        if writer in rejected_on:
+            await reject(message, writer)  # the copy, when the next response is due
+        runs.append(message)
+        await serve(message, writer)
+
+    async with running_data_plane(behave) as harness, harness.client() as client:
+        assert (await client.send_request(path)).status == 200
+        assert len(runs) == 1
+        assert len(harness.hosts[0].writers) == 2
+
+
+@on_loop
+async def test_other_requests_use_the_connection_on_which_one_was_rejected() -> None:
+    reject = respond_not_executed("503 Full", "X-Not-Executed: 1", KEEP_ALIVE)
+    serve = respond(b"ok", "200 OK", KEEP_ALIVE)
+    async with running_data_plane(reject) as harness, harness.client() as client:
+        assert (await client.send_request("/once/x")).status == 503
+        harness.hosts[0].behave = serve
+        opened = len(harness.hosts[0].writers)
+        assert (await client.send_request("/once/x")).status == 200
+        assert len(harness.hosts[0].writers) == opened
+
+
 @on_loop
 async def test_close_of_idle_connection_fails_no_request() -> None:
     async with (
--- a/tests/mutations/dataplane.py
+++ b/tests/mutations/dataplane.py
@@ -227,9 +227,14 @@
         DATAPLANE,
         (
             "non-repeatable request uses long idle connection",
-            "return not non_repeatable or fresh or connection.stale()",
+            "return fresh or not attempt.non_repeatable",
             "return True",
         ),
+        (
+            "a request is sent again on the connection that rejected it",
+            "if connection.has_carried(attempt.request_id):",
+            "if False:",
+        ),
         (
             "connection limit per host is ignored",
             "return host.open_count < host.connection_limit",
