--- a/roselink/coordination/departure.py
+++ b/roselink/coordination/departure.py
@@ -21,14 +21,18 @@
   could drop them. If too few machines stay for a chain, all of the core is being restarted: the
   processes return with their disks, and have the majority that they had.
 
-D3. A process that has left is in no view that was in flight when it asked: it ends only if no voter
-    that replied had promised a round of a proposal.
+D3. A process ends in order only if none of the voters that replied had promised a round of a
+    proposal.
 
   Reason: a machine that was about to join is in the next view if that view was planned before its
   planner learned that the machine leaves, and would be one of its voters after its end. A voter
   learns that the machine leaves before it gets the question, by the same connection, and plans no
   view with it afterwards. A promise that led to no view delays the process until D2.
 
+  This doesn't exclude every such view: a planner that has not replied may propose one that it
+  planned before, and the others may promise it after their replies. The machine then counts as a
+  lost voter until it is absent, as any machine does that ends so soon after its start.
+
 The question whether a voter has the view on disk is the first phase of Paxos for the next epoch, at
 a round below that of every proposal. An acceptor replies to it, with a promise or a refusal, only
 once its view is on disk (A1 in `acceptor`), and the promise excludes no proposal.
