--- a/review/8/case.py
+++ b/review/8/case.py
@@ -27,6 +27,7 @@
     Host,
     Platform,
     Record,
+    end_on_sigterm,
     read_head,
     request_bytes,
 )
@@ -252,6 +253,7 @@
 
 def main() -> int:
     """Run the case in a temporary folder."""
+    end_on_sigterm()
     record = Record(Path(__file__).with_name("record.txt"))
     folder = Path(tempfile.mkdtemp(prefix="review-8-"))
     try:
--- a/review/standins-2/fleet2.py
+++ b/review/standins-2/fleet2.py
@@ -16,7 +16,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import time
 import tomllib
 from collections.abc import Awaitable, Callable
@@ -57,6 +56,16 @@
     """The case could not be set up; it says nothing about the rule."""
 
 
+def end_on_sigterm() -> None:
+    """At SIGTERM leave as if the case could not run, so that its processes are ended."""
+
+    def leave(number: int, frame: object) -> None:
+        del number, frame
+        raise SystemExit(EXIT_CANNOT_RUN)
+
+    signal.signal(signal.SIGTERM, leave)
+
+
 class Record:
     """The file `record.txt` of a case: one line for each thing that was sent, answered or run."""
 
@@ -225,7 +234,7 @@
                 "max_lag_ms": 800,
             },
         }
-        command = [sys.executable, *self.commands[role][1:]]
+        command = self.commands[role]
         machine = self.machines[name] = Machine(name, role, command, place, settings)
         return machine
 
