Log: how a request came that a draining gateway takes and may have to cut

The log said neither whether such a request came on a new connection, ahead of the answer before it, or on a connection that had fallen idle, nor whether that answer had promised the connection before the SIGTERM or after it. These are the hypotheses, and they looked alike.

Change: the event drain_request, for requests whose time is longer than what is left of the drain.

--- a/roselink/dataplane/decision_driver.py
+++ b/roselink/dataplane/decision_driver.py
@@ -148,6 +148,8 @@
         exchange.service = entry.choose_service(self._random)
         exchange.expires_at = request.received_at + time_limit_s(request, route)
         if self._drain_ends_at is not None:
+            if exchange.expires_at > self._drain_ends_at:
+                self._log_drain_request(exchange, "shortened")
             exchange.expires_at = min(exchange.expires_at, self._drain_ends_at)
         exchange.give_up_at = give_up_time(request.received_at, exchange.expires_at)
         if exchange.give_up_at <= self._loop.time():
@@ -164,6 +166,24 @@
             self._request_quota(exchange, tenant)
         return None if exchange.closed else exchange
 
+    def _log_drain_request(self, exchange: Exchange, action: str) -> None:
+        """Log how a request came that can't have all of its time, because the gateway drains."""
+        origin = exchange.client.request_origin()
+        now = self._loop.time()
+        drain_ends_at = self._drain_ends_at
+        assert drain_ends_at is not None
+        log.info(
+            "drain_request action=%s left_s=%.3f wanted_s=%.3f earlier=%d ahead=%s idle_ms=%.1f"
+            " promised_s=%.3f",
+            action,
+            drain_ends_at - now,
+            exchange.expires_at - now,
+            origin.earlier_requests,
+            "yes" if origin.sent_ahead else "no",
+            origin.idle_s * 1000,
+            origin.promised_s,
+        )
+
     def _request_quota(self, exchange: Exchange, tenant: Tenant) -> None:
         try:
             self._quotas.admit(
--- a/roselink/dataplane/exchange.py
+++ b/roselink/dataplane/exchange.py
@@ -21,6 +21,7 @@
     import asyncio
     from collections.abc import Callable
 
+    from roselink.http.server_connection import RequestOrigin
     from roselink.routing.events_and_actions import RequestFacts
 
 # Attempts of one request; protects the event loop from a decider that retries for ever.
@@ -67,6 +68,10 @@
         """Whether the write buffer is full because the client reads too slowly."""
         ...
 
+    def request_origin(self) -> RequestOrigin:
+        """How the request came to its connection."""
+        ...
+
 
 class CompleteResponse(NamedTuple):
     """A complete response of a host."""
--- a/roselink/http/server_connection.py
+++ b/roselink/http/server_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import math
 from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, cast
 
 import httptools
@@ -53,6 +54,23 @@
         self.why = why
 
 
+@dataclass(frozen=True, slots=True)
+class RequestOrigin:
+    """How a request came: on a new connection, ahead of a response's end, or on an idle connection.
+
+    Attributes:
+        earlier_requests: requests that this connection has had before.
+        sent_ahead: whether bytes of it were here when the previous response ended.
+        idle_s: time since the end of the previous response, or since the connection was opened.
+        promised_s: time since the previous response's head let the connection stay open; 0 if none.
+    """
+
+    earlier_requests: int
+    sent_ahead: bool
+    idle_s: float
+    promised_s: float
+
+
 class ServerConnection(asyncio.Protocol):
     """One client connection, which serves its requests one at a time and in order.
 
@@ -83,6 +101,9 @@
         self._completed_requests = 0
         self._parse_error: BadRequestError | None = None
         self.last_progress_at = server.loop.time()  # time-outs count from it
+        self._response_ended_at = self.last_progress_at
+        self._promised_at: float | None = None  # when a head last let the connection stay open
+        self._sent_ahead = False
         self._start_request()
 
     def _start_request(self) -> None:
@@ -306,9 +327,11 @@
         kernel: only the last response carries `Connection: close`.
         """
         has_pipelined = bool(self._pending) or bool(self._unparsed) or self._in_request
-        if has_pipelined or not self._server.draining or not self._keep_alive:
-            return self._keep_alive
-        return self._poller is not None and self._poller.has_unread()
+        keep = self._keep_alive
+        if keep and self._server.draining and not has_pipelined:
+            keep = self._poller is not None and self._poller.has_unread()
+        self._promised_at = self._server.loop.time() if keep else None
+        return keep
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
@@ -317,9 +340,11 @@
     def _response_finished(self, *, keep: bool) -> None:
         """Finish a response whose last byte was written to the transport."""
         self._serving = False
-        self.last_progress_at = self._server.loop.time()
+        self.last_progress_at = self._response_ended_at = self._server.loop.time()
         if self._transport is None:
             return
+        if self._server.draining:
+            self._sent_ahead = self._has_next_request()
         if keep:
             if self._pending or self._unparsed or self._in_request:
                 self._server.loop.call_soon(self._advance)
@@ -328,6 +353,22 @@
         else:
             self._close()
 
+    def _has_next_request(self) -> bool:
+        """Whether bytes of a further request are here, or unread in the kernel."""
+        parsed = bool(self._pending) or bool(self._unparsed) or self._in_request
+        return parsed or (self._poller is not None and self._poller.has_unread())
+
+    def request_origin(self) -> RequestOrigin:
+        """How the request that is being served came; `sent_ahead` is known in a drain only."""
+        now = self._server.loop.time()
+        promised_s = 0.0 if self._promised_at is None else now - self._promised_at
+        return RequestOrigin(
+            max(0, self._completed_requests - len(self._pending) - 1),
+            self._sent_ahead,
+            now - self._response_ended_at,
+            promised_s,
+        )
+
     def _close(self) -> None:
         """Close the connection after its last response.
 
--- a/tests/dataplane/test_invariants.py
+++ b/tests/dataplane/test_invariants.py
@@ -12,6 +12,7 @@
 from roselink.dataplane.fleet_host_connection import PROVABLY_UNSENT_LIMIT_BYTES
 from roselink.dataplane.proxy_request import Headers, read_request
 from roselink.http import host_pool
+from roselink.http.server_connection import RequestOrigin
 from roselink.routing.events_and_actions import Action, AttemptEnded, RequestArrived
 from roselink.routing.outcome import NEVER_RAN, Outcome
 from tests.dataplane.harness import (
@@ -236,6 +237,9 @@
     def is_write_paused(self) -> bool:
         return False
 
+    def request_origin(self) -> RequestOrigin:
+        return RequestOrigin(0, sent_ahead=False, idle_s=0.0, promised_s=0.0)
+
 
 @pytest.mark.parametrize("path", [b"/once/x", b"/safe/x", b"/chat/x"])
 @pytest.mark.parametrize("reuse_connection", [False, True])
