HTTP: the parsing of client connections in a module of its own

The parser's callbacks and the limits of size move to request_parser.py, a request and how it came to pending_request.py; nothing else changes.

--- a/roselink/dataplane/client_connection.py
+++ b/roselink/dataplane/client_connection.py
@@ -9,7 +9,8 @@
 
 from roselink.dataplane.admission import NOT_CONFIRMED_RETRY_S
 from roselink.dataplane.proxy_request import Headers, ProxyRequest, read_request
-from roselink.http.server_connection import PendingRequest, ServerConnection
+from roselink.http.pending_request import PendingRequest
+from roselink.http.server_connection import ServerConnection
 from roselink.http.status_codes import OK, REASON_PHRASES, UNAUTHORIZED
 
 if TYPE_CHECKING:
--- a/roselink/dataplane/exchange.py
+++ b/roselink/dataplane/exchange.py
@@ -21,7 +21,7 @@
     import asyncio
     from collections.abc import Callable
 
-    from roselink.http.server_connection import RequestOrigin
+    from roselink.http.pending_request import RequestOrigin
     from roselink.routing.events_and_actions import RequestFacts
 
 # Attempts of one request; protects the event loop from a decider that retries for ever.
--- a/roselink/dataplane/readiness_server.py
+++ b/roselink/dataplane/readiness_server.py
@@ -6,8 +6,9 @@
 
 from roselink.http.exceptions import BadRequestError
 from roselink.http.limits import SizeLimits, TimeLimits
+from roselink.http.pending_request import PendingRequest
 from roselink.http.server import HttpServer
-from roselink.http.server_connection import PendingRequest, ServerConnection
+from roselink.http.server_connection import ServerConnection
 from roselink.http.status_codes import OK, REASON_PHRASES
 
 if TYPE_CHECKING:
--- a/roselink/gateway/server.py
+++ b/roselink/gateway/server.py
@@ -12,8 +12,9 @@
 from roselink.gateway.request_checks import RequestChecks
 from roselink.http.host_connection import BODY_LIMIT, HEAD_LIMIT
 from roselink.http.limits import SizeLimits, TimeLimits
+from roselink.http.pending_request import PendingRequest
 from roselink.http.server import HttpServer
-from roselink.http.server_connection import PendingRequest, ServerConnection
+from roselink.http.server_connection import ServerConnection
 from roselink.http.status_codes import REASON_PHRASES
 
 if TYPE_CHECKING:
--- a/roselink/http/server_connection.py
+++ b/roselink/http/server_connection.py
@@ -10,17 +10,17 @@
 import asyncio
 import math
 from collections import deque
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
 from roselink.http.exceptions import BadRequestError
-from roselink.http.framing_checks import check_framing
+from roselink.http.pending_request import PendingRequest, RequestOrigin
+from roselink.http.request_parser import RequestParser
 from roselink.http.socket_poller import SocketPoller
 
 if TYPE_CHECKING:
-    from roselink.http.limits import TimeLimits
+    from roselink.http.limits import SizeLimits, TimeLimits
     from roselink.http.server import HttpServer
 
 # Pipelined requests parsed ahead on one connection; clients normally send one at a time.
@@ -33,45 +33,7 @@
 LINGER_BYTES = 1024 * 1024
 
 
-class PendingRequest:
-    """A complete request, or the status of its rejection, that waits to be served.
-
-    Clients may pipeline requests; each is served after the response to the previous one.
-    """
-
-    def __init__(self, request: Any, status: int, *, keep: bool, why: str = "") -> None:
-        """Keep what a subclass serves later.
-
-        Args:
-            request: the request in the subclass's form, None for a rejection.
-            status: the status of the rejection.
-            keep: whether the connection may stay open.
-            why: the reason for the rejection, for the log.
-        """
-        self.request = request
-        self.status = status
-        self.keep = keep
-        self.why = why
-
-
-@dataclass(frozen=True, slots=True)
-class RequestOrigin:
-    """How a request came: on a new connection, ahead of a response's end, or on an idle connection.
-
-    Attributes:
-        earlier_requests: requests that this connection has had before.
-        sent_ahead: whether bytes of it were here when the previous response ended.
-        idle_s: time since the end of the previous response, or since the connection was opened.
-        promised_s: time since the previous response's head let the connection stay open; 0 if none.
-    """
-
-    earlier_requests: int
-    sent_ahead: bool
-    idle_s: float
-    promised_s: float
-
-
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(RequestParser, asyncio.Protocol):
     """One client connection, which serves its requests one at a time and in order.
 
     A subclass reads a complete request (`_read_request`), starts its response (`_serve_request`),
@@ -80,10 +42,10 @@
 
     def __init__(self, server: HttpServer) -> None:
         """Start without a transport, on a connection of `server`."""
+        super().__init__()
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._poller: SocketPoller | None = None
-        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._unparsed = b""
         # When the unparsed bytes were read, from which the client's deadline counts.
         self._read_at = server.loop.time()
@@ -96,22 +58,12 @@
         self._reading_paused = False
         self._writing_paused = False
         self._input_ended = False
-        self._in_request = False
         self._discarded_bytes = 0
         self._completed_requests = 0
-        self._parse_error: BadRequestError | None = None
         self.last_progress_at = server.loop.time()  # time-outs count from it
         self._response_ended_at = self.last_progress_at
         self._promised_at: float | None = None  # when a head last let the connection stay open
         self._sent_ahead = False
-        self._start_request()
-
-    def _start_request(self) -> None:
-        self._url = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._section_bytes = self._request_bytes = 0
-        self._body: list[bytes] = []
-        self._in_head = True
 
     # Callbacks of the transport.
 
@@ -192,14 +144,6 @@
             self._unparsed = b""
         self._pause_or_resume_reading()
 
-    def _limit_request_bytes(self, size: int) -> None:
-        """Limit a request's size: endless headers or chunk extensions cause no parser callback."""
-        self._request_bytes += size
-        if self._in_head and self._request_bytes > self._server.size_limits.head:
-            raise BadRequestError(431, "head too long")
-        if self._request_bytes > self._server.size_limits.message:
-            raise BadRequestError(413, "request too long")
-
     def _pause_or_resume_reading(self) -> None:
         """Pause reading while unparsed bytes are left, and resume it after."""
         pause = bool(self._unparsed) and not self._input_ended
@@ -216,59 +160,16 @@
 
     # Callbacks of the parser.
 
-    def on_message_begin(self) -> None:
-        """A message begins (parser)."""
-        self._start_request()
-        self._in_request = True
+    def _size_limits(self) -> SizeLimits:
+        return self._server.size_limits
+
+    def _message_begun(self) -> None:
         if not self._serving:
             self.last_progress_at = self._server.loop.time()
         self._server.request_started(self)
 
-    def on_url(self, url: bytes) -> None:
-        """A piece of the request target was parsed (parser)."""
-        self._url += url
-        self._limit_head_bytes(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """A header or a trailer was parsed (parser)."""
-        if not self._in_head:
-            return  # a trailer, which must not replace a validated header
-        self._headers.append((name, value.strip()))
-        self._limit_head_bytes(len(name) + len(value) + 4)
-
-    def _limit_head_bytes(self, size: int) -> None:
-        self._section_bytes += size
-        if self._section_bytes > self._server.size_limits.head:
-            self._reject(431, "head too long")
-
-    def _reject(self, status: int, why: str) -> None:
-        """Abort parsing from within a callback; the parser wraps the exception raised here."""
-        self._parse_error = BadRequestError(status, why)
-        raise self._parse_error
-
-    def on_headers_complete(self) -> None:
-        """The head is complete (parser)."""
-        self._in_head = False
-        self._section_bytes = 0
-        assert self._parser is not None
-        try:
-            check_framing(
-                self._parser.get_http_version(), self._headers, self._server.size_limits.body
-            )
-        except BadRequestError as bad:
-            self._reject(bad.status, str(bad))
-
-    def on_body(self, body: bytes) -> None:
-        """A piece of the body was parsed (parser)."""
-        self._section_bytes += len(body)
-        if self._section_bytes > self._server.size_limits.body:
-            self._reject(413, "body too long")
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        """The message is complete (parser)."""
-        self._in_request = False
-        self._completed_requests = self._completed_requests + 1
+    def _message_completed(self) -> None:
+        self._completed_requests += 1
         assert self._parser is not None
         keep = self._parser.should_keep_alive()
         try:
--- a/tests/dataplane/test_invariants.py
+++ b/tests/dataplane/test_invariants.py
@@ -12,7 +12,7 @@
 from roselink.dataplane.fleet_host_connection import PROVABLY_UNSENT_LIMIT_BYTES
 from roselink.dataplane.proxy_request import Headers, read_request
 from roselink.http import host_pool
-from roselink.http.server_connection import RequestOrigin
+from roselink.http.pending_request import RequestOrigin
 from roselink.routing.events_and_actions import Action, AttemptEnded, RequestArrived
 from roselink.routing.outcome import NEVER_RAN, Outcome
 from tests.dataplane.harness import (
