Drain: a stopping gateway takes no request that it would cut, and closes at the answer's end

Closing earlier alone would leave the requests that are already here, and late first requests. Ruled out: new connections (each had an earlier request), requests sent ahead (none), heads from after the SIGTERM.

Once the listener is closed, a kept connection is closed in the step in which its answer ends, unless a further request is here; what crosses the close stays unread. A request that is half read at the end gets 503. A recently used idle connection is shut down for sending first, so that a request that crosses the close doesn't reset the answer.

--- a/roselink/dataplane/decision_driver.py
+++ b/roselink/dataplane/decision_driver.py
@@ -51,6 +51,7 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from roselink.dataplane.drain import DrainTimes
     from roselink.dataplane.fleet_host_pool import FleetHostPool
     from roselink.dataplane.interfaces import Authority, Decider, Quotas, SharedBudget
     from roselink.model.configuration import Tenant
@@ -82,8 +83,7 @@
         self._random = random.Random(seed)
         self._request_numbers = itertools.count(1)
         self._queue = EventQueue(loop, decider, self._perform, self._fail)
-        # While draining: loop time by which every request must have its response.
-        self._drain_ends_at: float | None = None
+        self._drain: DrainTimes | None = None  # None before the SIGTERM
         self._topology: TopologyChanged | None = None
         self.route_table: RouteTable | None = None
         self.host_directory = HostDirectory(host_pool)
@@ -147,10 +147,11 @@
         exchange.number = next(self._request_numbers)
         exchange.service = entry.choose_service(self._random)
         exchange.expires_at = request.received_at + time_limit_s(request, route)
-        if self._drain_ends_at is not None:
-            if exchange.expires_at > self._drain_ends_at:
-                self._log_drain_request(exchange, "shortened")
-            exchange.expires_at = min(exchange.expires_at, self._drain_ends_at)
+        if self._drain is not None:
+            if not self._drain.may_take(self._loop.time(), exchange.expires_at):
+                self._refuse_draining(exchange, self._drain)
+                return None
+            exchange.expires_at = self._drain.limit(exchange.expires_at)
         exchange.give_up_at = give_up_time(request.received_at, exchange.expires_at)
         if exchange.give_up_at <= self._loop.time():
             self._refuse(client, 503, 0.0)
@@ -166,23 +167,22 @@
             self._request_quota(exchange, tenant)
         return None if exchange.closed else exchange
 
-    def _log_drain_request(self, exchange: Exchange, action: str) -> None:
-        """Log how a request came that can't have all of its time, because the gateway drains."""
+    def _refuse_draining(self, exchange: Exchange, drain: DrainTimes) -> None:
+        """Refuse a request that could not end before the drain does; others can serve it."""
         origin = exchange.client.request_origin()
         now = self._loop.time()
-        drain_ends_at = self._drain_ends_at
-        assert drain_ends_at is not None
         log.info(
-            "drain_request action=%s left_s=%.3f wanted_s=%.3f earlier=%d ahead=%s idle_ms=%.1f"
+            "drain_request_refused left_s=%.3f wanted_s=%.3f earlier=%d ahead=%s idle_ms=%.1f"
             " promised_s=%.3f",
-            action,
-            drain_ends_at - now,
+            drain.requests_end_at - now,
             exchange.expires_at - now,
             origin.earlier_requests,
             "yes" if origin.sent_ahead else "no",
             origin.idle_s * 1000,
             origin.promised_s,
         )
+        self.counts["refused_draining"] += 1
+        self._refuse(exchange.client, 503, 0.0)
 
     def _request_quota(self, exchange: Exchange, tenant: Tenant) -> None:
         try:
@@ -209,13 +209,14 @@
             self.counts["departed"] += 1
             self._close(exchange)
 
-    def drain(self, ends_at: float) -> None:
-        """Limit the deadline of all requests, open and new, to `ends_at` in loop time."""
-        self._drain_ends_at = ends_at
+    def drain(self, times: DrainTimes) -> None:
+        """Limit the deadline of all requests, open and new, and refuse those that don't fit."""
+        self._drain = times
         for exchange in self.open_requests.values():
-            if exchange.expires_at > ends_at:
-                exchange.expires_at = ends_at
-                exchange.give_up_at = give_up_time(exchange.request.received_at, ends_at)
+            limited = times.limit(exchange.expires_at)
+            if limited < exchange.expires_at:
+                exchange.expires_at = limited
+                exchange.give_up_at = give_up_time(exchange.request.received_at, limited)
                 self._set_deadline_timer(exchange, exchange.give_up_at)
 
     # Deadlines.
--- a/roselink/dataplane/gateway_data_plane.py
+++ b/roselink/dataplane/gateway_data_plane.py
@@ -9,6 +9,7 @@
 
 from roselink.dataplane.client_server import ClientServer
 from roselink.dataplane.decision_driver import DecisionDriver
+from roselink.dataplane.drain import DrainTimes
 from roselink.dataplane.fleet_host_pool import FleetHostPool
 from roselink.dataplane.readiness_server import ReadinessServer
 from roselink.http.descriptors import Descriptors
@@ -25,12 +26,6 @@
 SWEEP_INTERVAL_S = 0.25
 # A sweep delayed by more than this closes nothing, because data received meanwhile is still unread.
 SWEEP_OVERDUE_LIMIT_S = 1.0
-# How long connections are accepted after SIGTERM. The platform checks readiness every second and
-# sends connections until two checks have failed. A smaller value would refuse connections; a larger
-# one would delay the drain.
-ACCEPT_AFTER_SIGTERM_S = 2.5
-# Part of the grace time that is kept for sending the last responses and for exiting.
-EXIT_RESERVE_S = 1.0
 # Interval between two checks whether every connection has closed.
 CLOSE_POLL_S = 0.02
 # File descriptors for uses other than clients and hosts: files, peers, libraries.
@@ -64,7 +59,6 @@
         self.readiness = ReadinessServer(loop, self.ready, descriptors, free_descriptor)
         self.port = self.readiness_port = 0
         self.draining = False
-        self._drain_ends_at = 0.0
         self._drained = asyncio.Event()
         self._drain_task: asyncio.Task[None] | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -125,22 +119,30 @@
         if self.draining:
             return
         self.draining = self.server.draining = True
-        self._drain_ends_at = self._loop.time() + max(
-            ACCEPT_AFTER_SIGTERM_S + CLOSE_POLL_S,
-            self._settings.thresholds.grace_s - EXIT_RESERVE_S,
-        )
-        self.driver.drain(self._drain_ends_at)
-        self._drain_task = self._loop.create_task(self._drain())
+        times = DrainTimes.after_sigterm(self._loop.time(), self._settings.thresholds.grace_s)
+        self.driver.drain(times)
+        self._drain_task = self._loop.create_task(self._drain(times))
 
-    async def _drain(self) -> None:
-        await asyncio.sleep(ACCEPT_AFTER_SIGTERM_S)
+    async def _drain(self, times: DrainTimes) -> None:
+        await asyncio.sleep(times.accept_until - self._loop.time())
         await self.server.stop_accepting()
-        while (
-            self.server.connections and self._loop.time() < self._drain_ends_at + 2 * CLOSE_POLL_S
-        ):
+        await self._close_connections(times.requests_end_at)
+        self.server.end_requests()
+        await self._close_connections(times.connections_end_at)
+        log.info(
+            "drain_ended requests=%d connections=%d refused=%d cut=%d",
+            len(self.driver.open_requests),
+            len(self.server.connections),
+            self.driver.counts["refused_draining"],
+            self.driver.counts["cut"],
+        )
+        self._drained.set()
+
+    async def _close_connections(self, until: float) -> None:
+        """Close each connection once it is idle, until all are closed or the time is `until`."""
+        while self.server.connections and self._loop.time() < until:
             self.server.close_idle()
             await asyncio.sleep(CLOSE_POLL_S)
-        self._drained.set()
 
     async def drained(self) -> None:
         """Wait until every request has its response or the grace time is used up."""
--- a/roselink/gateway/__main__.py
+++ b/roselink/gateway/__main__.py
@@ -120,8 +120,14 @@
         )
         await asyncio.sleep(ACCEPT_AFTER_SIGTERM_S)
         await self.server.stop_accepting()
-        end = self.loop.time() + longest_s + FLUSH_S
-        while self.server.connections and self.loop.time() < end:
+        requests_end_at = self.loop.time() + longest_s
+        await self._close_connections(requests_end_at)
+        self.server.end_requests()
+        await self._close_connections(requests_end_at + FLUSH_S)
+
+    async def _close_connections(self, until: float) -> None:
+        """Closes each connection once it is idle, until all are closed or the time is `until`."""
+        while self.server.connections and self.loop.time() < until:
             self.server.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
--- a/roselink/http/server.py
+++ b/roselink/http/server.py
@@ -77,7 +77,12 @@
         self._idle: dict[ServerConnection, None] = {}
         # Connections whose last response was written, the earliest first.
         self._finishing: dict[ServerConnection, None] = {}
+        # Each response closes its connection, unless a further request is already here.
         self.draining = False
+        # Connections whose last response promised to keep them are closed at the response's end.
+        self.closing_kept = False
+        # No further request is read.
+        self.requests_ended = False
         self._listener: asyncio.Server | None = None
 
     # Defined by subclasses.
@@ -147,6 +152,7 @@
 
     def connection_finishing(self, connection: ServerConnection) -> None:
         """Register a connection whose last response was written and may still be unread."""
+        self.request_started(connection)
         self._finishing[connection] = None
 
     def connection_closing(self, connection: ServerConnection) -> None:
@@ -178,8 +184,10 @@
     async def stop_accepting(self) -> None:
         """Close the listener, after the load balancer in front has stopped sending connections.
 
-        Connections queued in the kernel are accepted first, since the close would reset them.
+        Connections queued in the kernel are accepted first, since the close would reset them. From
+        then on, a connection is closed as soon as its response has ended.
         """
+        self.closing_kept = True
         if self._listener is None:
             return
         poll = select.poll()
@@ -206,3 +214,14 @@
                 connection not in self._unused or connection.last_progress_at < read_before
             ):
                 connection.close_idle()
+        for connection in list(self._finishing):
+            connection.discard_if_peer_closed()
+
+    def end_requests(self) -> None:
+        """Read no further request: refuse those that are not complete, and close at each response.
+
+        A request that is complete still gets its response.
+        """
+        self.requests_ended = True
+        for connection in list(self.connections):
+            connection.end_incomplete_request()
--- a/roselink/http/server_connection.py
+++ b/roselink/http/server_connection.py
@@ -58,6 +58,7 @@
         self._reading_paused = False
         self._writing_paused = False
         self._input_ended = False
+        self._closing = False  # the last response has been written
         self._discarded_bytes = 0
         self._completed_requests = 0
         self.last_progress_at = server.loop.time()  # time-outs count from it
@@ -149,6 +150,8 @@
         pause = bool(self._unparsed) and not self._input_ended
         if self._transport is None or self._poller is None or not (pause or self._reading_paused):
             return
+        if self._closing:
+            return
         if not self._reading_paused:
             self._last_empty_at = self._read_at
             self._transport.pause_reading()
@@ -230,7 +233,8 @@
         has_pipelined = bool(self._pending) or bool(self._unparsed) or self._in_request
         keep = self._keep_alive
         if keep and self._server.draining and not has_pipelined:
-            keep = self._poller is not None and self._poller.has_unread()
+            may_read = not self._server.requests_ended and self._poller is not None
+            keep = may_read and self._has_next_request()
         self._promised_at = self._server.loop.time() if keep else None
         return keep
 
@@ -244,15 +248,17 @@
         self.last_progress_at = self._response_ended_at = self._server.loop.time()
         if self._transport is None:
             return
+        if not keep:
+            self._close(discard=True)
+            return
         if self._server.draining:
             self._sent_ahead = self._has_next_request()
-        if keep:
-            if self._pending or self._unparsed or self._in_request:
-                self._server.loop.call_soon(self._advance)
-            elif not self._writing_paused:
-                self._server.connection_idle(self)
-        else:
-            self._close()
+        if self._server.closing_kept and not self._sent_ahead:
+            self._close(discard=False)
+        elif self._pending or self._unparsed or self._in_request:
+            self._server.loop.call_soon(self._advance)
+        elif not self._writing_paused:
+            self._server.connection_idle(self)
 
     def _has_next_request(self) -> bool:
         """Whether bytes of a further request are here, or unread in the kernel."""
@@ -270,23 +276,46 @@
             promised_s,
         )
 
-    def _close(self) -> None:
+    def _close(self, *, discard: bool) -> None:
         """Close the connection after its last response.
 
         Closing with unread bytes would reset the connection, and the response could be lost. So the
-        sending side is shut down first, and received bytes are discarded for `LINGER_S`.
+        sending side is shut down first, and received bytes are discarded: at once, or from the
+        client's end of stream or `LINGER_S` on.
+
+        Args:
+            discard: whether to read further bytes at once. False if the last response let the
+                connection stay open: a request that crosses the close then stays unread, so that
+                its client may send it again.
         """
-        self._input_ended = True
+        self._input_ended = self._closing = True
         self._pending.clear()
         self._unparsed = b""
-        if self._transport is not None:
-            if self._reading_paused:
-                self._reading_paused = False
-                self._transport.resume_reading()
-            self._server.connection_finishing(self)
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
-            self._server.loop.call_later(LINGER_S, self._close_after_linger)
+        if self._transport is None:
+            return
+        if discard:
+            self._discard_input()
+        elif not self._reading_paused:
+            self._reading_paused = True
+            self._transport.pause_reading()
+        self._server.connection_finishing(self)
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._server.loop.call_later(LINGER_S, self._close_after_linger)
+
+    def _discard_input(self) -> None:
+        """Read what the client sends after the last response; `data_received` discards it."""
+        if self._reading_paused and self._transport is not None:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
+    def discard_if_peer_closed(self) -> None:
+        """Discard what a client has sent after the last response, once it sends nothing more.
+
+        With reading paused, the loop would not notice the client's end of stream.
+        """
+        if self._reading_paused and self._poller is not None and self._poller.peer_closed():
+            self._discard_input()
 
     def _close_after_linger(self) -> None:
         """Close the connection after `LINGER_S`, or try again after as long.
@@ -335,11 +364,16 @@
     def close_idle(self) -> bool:
         """Close an idle connection unless it has unread bytes; whether it was closed.
 
-        An unread request must be served, and closing with unread bytes would send a reset.
+        An unread request must be served, and closing with unread bytes would send a reset. So would
+        a request that crosses the close; the end of a recent response could be lost to it.
         """
         if self._poller is None or self._poller.has_unread():
             return False
-        self.abort()
+        responded_s = self._server.loop.time() - self._response_ended_at
+        if self._completed_requests and responded_s < LINGER_S:
+            self._close(discard=False)
+        else:
+            self.abort()
         return True
 
     def close_finished(self) -> bool:
@@ -348,17 +382,33 @@
         It stays open until the kernel has the response and no bytes are unread: closing with unread
         bytes would send a reset, which discards what the client's kernel has not received.
         """
-        if self._writing_paused or self._poller is None or self._poller.has_unread():
+        if self._writing_paused or self._poller is None:
+            return False
+        if self._poller.has_unread():
+            self._discard_input()
             return False
         self.abort()
         return True
 
+    def end_incomplete_request(self) -> None:
+        """Refuse a request that has begun to arrive and is not complete, after those before it."""
+        if self._in_request and not self._input_ended:
+            self._input_ended = True
+            self._pending.append(
+                PendingRequest(
+                    None, 503, keep=False, why="the drain ended before the request's end"
+                )
+            )
+            self._advance()
+
     def sweep(self, now: float, times: TimeLimits) -> None:
         """Close the connection if it has exceeded a time-out.
 
         Clients that connect and send nothing must not use up the file descriptors.
         """
         waited = now - self.last_progress_at
+        if self._closing:
+            self.discard_if_peer_closed()
         if self._writing_paused and waited > times.unread:
             self.abort()
         elif self._in_request and not self._serving and not self._input_ended:
--- a/tests/dataplane/test_client_guarantees.py
+++ b/tests/dataplane/test_client_guarantees.py
@@ -6,8 +6,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from roselink.dataplane import gateway_data_plane
-from roselink.dataplane.gateway_data_plane import EXIT_RESERVE_S
+from roselink.dataplane import drain
+from roselink.dataplane.drain import EXIT_RESERVE_S
 from roselink.routing.fleet_decider import FleetDecider
 from tests.dataplane.harness import (
     DataPlaneHarness,
@@ -82,8 +82,8 @@
     assert grace_s - EXIT_RESERVE_S > grace_s * 5 / 6
     delayed_host = DelayedHost()
     # This reserve leaves 5 s of the grace time for the drain.
-    monkeypatch.setattr(gateway_data_plane, "EXIT_RESERVE_S", grace_s - 5.0)
-    monkeypatch.setattr(gateway_data_plane, "ACCEPT_AFTER_SIGTERM_S", 0.0)
+    monkeypatch.setattr(drain, "EXIT_RESERVE_S", grace_s - 5.0)
+    monkeypatch.setattr(drain, "ACCEPT_AFTER_SIGTERM_S", 0.0)
     async with running_data_plane(delayed_host.behave) as harness, harness.client() as client:
         client.writer.write(request("/once/x"))
         await wait_for_request(harness)
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from roselink.dataplane import gateway_data_plane
+from roselink.dataplane import drain
 from roselink.dataplane.client_server import IDLE_TIMEOUT_SLACK_S
 from tests.dataplane.harness import (
     API_KEY,
@@ -202,7 +202,7 @@
 async def begin_drain(
     harness: DataPlaneHarness, monkeypatch: pytest.MonkeyPatch, accept_s: float = 0.1
 ) -> asyncio.Task[None]:
-    monkeypatch.setattr(gateway_data_plane, "ACCEPT_AFTER_SIGTERM_S", accept_s)
+    monkeypatch.setattr(drain, "ACCEPT_AFTER_SIGTERM_S", accept_s)
     harness.data_plane.begin_drain()
     return asyncio.get_running_loop().create_task(harness.data_plane.drained())
 
@@ -263,7 +263,7 @@
             writer.write(stream_head(message) + chunk(event(1)))
         await hang(message, writer)
 
-    monkeypatch.setattr(gateway_data_plane, "EXIT_RESERVE_S", 7.6)  # of 8 s of grace time
+    monkeypatch.setattr(drain, "EXIT_RESERVE_S", 7.6)  # of 8 s of grace time
     async with (
         running_data_plane(stuck) as harness,
         harness.client() as one,
--- a/tests/dataplane/test_invariants.py
+++ b/tests/dataplane/test_invariants.py
@@ -9,6 +9,7 @@
 import pytest
 
 from roselink.dataplane import fleet_host_pool
+from roselink.dataplane.drain import DrainTimes
 from roselink.dataplane.fleet_host_connection import PROVABLY_UNSENT_LIMIT_BYTES
 from roselink.dataplane.proxy_request import Headers, read_request
 from roselink.http import host_pool
@@ -537,7 +538,9 @@
         if received_before_drain:
             client.writer.write(request("/safe/x"))
             await until(lambda: bool(harness.hosts[0].seen))
-        harness.data_plane.driver.drain(loop.time() + PAUSE_S)
+        now = loop.time()
+        times = DrainTimes(now, now + PAUSE_S, now + PAUSE_S, now + PAUSE_S)
+        harness.data_plane.driver.drain(times)
         if not received_before_drain:
             client.writer.write(request("/safe/x"))
         assert (await client.read_response()).status == 504
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -150,7 +150,7 @@
     async with running_gateway(send_bytes(response(b"x" * BODY_LIMIT))) as harness:
         client, connection = await unread_response(harness)
         connection._keep_alive = False
-        connection._close()
+        connection._close(discard=True)
         await until(lambda: len(calls) >= 3 or connection._transport is None)  # expired each time
         data = b""
         while part := await received(client):
--- a/tests/mutations/dataplane.py
+++ b/tests/mutations/dataplane.py
@@ -127,9 +127,14 @@
         ),
         (
             "request accepted during drain keeps its own deadline",
-            "            exchange.expires_at = min(exchange.expires_at, self._drain_ends_at)\n",
+            "            exchange.expires_at = self._drain.limit(exchange.expires_at)\n",
             "",
         ),
+        (
+            "request that can't end before the drain does is taken",
+            "            if not self._drain.may_take(self._loop.time(), exchange.expires_at):\n",
+            "            if False:\n",
+        ),
         (
             "drain does not move deadline timers of open requests",
             "                self._set_deadline_timer(exchange, exchange.give_up_at)\n",
--- a/tests/mutations/http.py
+++ b/tests/mutations/http.py
@@ -10,7 +10,49 @@
     "tests/dataplane",
 )
 
+CLOSE_TESTS = ("tests/gateway/test_closes.py", "tests/dataplane/test_drain.py")
+
 MUTATIONS: tuple[Mutation, ...] = (
+    *mutations_of(
+        "http/server_connection.py",
+        CLOSE_TESTS,
+        (
+            "a kept connection stays open when its response ends in a drain",
+            "        if self._server.closing_kept and not self._sent_ahead:\n",
+            "        if False:\n",
+        ),
+        (
+            "a connection is closed although a further request is here",
+            "        if self._server.closing_kept and not self._sent_ahead:\n",
+            "        if self._server.closing_kept:\n",
+        ),
+        (
+            "a request that crosses the close is read",
+            "        if discard:\n            self._discard_input()\n",
+            "        if True:\n            self._discard_input()\n",
+        ),
+        (
+            "a recent response is reset by the close of its idle connection",
+            "if self._completed_requests and responded_s < LINGER_S:",
+            "if False:",
+        ),
+        (
+            "an unread request holds its connection for ever",
+            "        if self._poller.has_unread():\n            self._discard_input()\n",
+            "        if self._poller.has_unread():\n",
+        ),
+        (
+            "a client's end of stream behind an unread request is not noticed",
+            "        if self._reading_paused and self._poller is not None "
+            "and self._poller.peer_closed():\n",
+            "        if False:\n",
+        ),
+        (
+            "a request that is not complete is dropped at the end of a drain",
+            "        if self._in_request and not self._input_ended:\n",
+            "        if False:\n",
+        ),
+    ),
     *mutations_of(
         "http/host_pool.py",
         HOST_POOL_TESTS,
