--- a/roselink/http/server_connection.py
+++ b/roselink/http/server_connection.py
@@ -8,32 +8,23 @@
 from __future__ import annotations
 
 import asyncio
-import math
-from collections import deque
 from typing import TYPE_CHECKING, cast
 
-import httptools
-
 from roselink.http.exceptions import BadRequestError
 from roselink.http.pending_request import PendingRequest, RequestOrigin
-from roselink.http.request_parser import RequestParser
+from roselink.http.request_reader import RequestReader
 from roselink.http.socket_poller import SocketPoller
 
 if TYPE_CHECKING:
     from roselink.http.limits import SizeLimits, TimeLimits
     from roselink.http.server import HttpServer
 
-# Pipelined requests parsed ahead on one connection; clients normally send one at a time.
-PIPELINE_LIMIT = 2
-# Bytes parsed at a time, which hold a few requests: one read can contain hundreds.
-PARSE_BYTES = 2048
-# Time and number of discarded bytes for which a connection stays open after its last response, so
-# that a client that is still sending can read it.
+# Time for which a connection stays open after its last response, so that a client that is still
+# sending can read it.
 LINGER_S = 1.0
-LINGER_BYTES = 1024 * 1024
 
 
-class ServerConnection(RequestParser, asyncio.Protocol):
+class ServerConnection(RequestReader, asyncio.Protocol):
     """One client connection, which serves its requests one at a time and in order.
 
     A subclass reads a complete request (`_read_request`), starts its response (`_serve_request`),
@@ -42,25 +33,12 @@
 
     def __init__(self, server: HttpServer) -> None:
         """Start without a transport, on a connection of `server`."""
-        super().__init__()
+        super().__init__(server.loop)
         self._server = server
-        self._transport: asyncio.Transport | None = None
-        self._poller: SocketPoller | None = None
-        self._unparsed = b""
-        # When the unparsed bytes were read, from which the client's deadline counts.
-        self._read_at = server.loop.time()
-        # While reading is paused: when the socket last had no unread bytes.
-        self._last_empty_at = math.inf
-        self._pending: deque[PendingRequest] = deque()
         self._serving = False
         self._keep_alive = True
         self._is_advancing = False
-        self._reading_paused = False
         self._writing_paused = False
-        self._input_ended = False
-        self._closing = False  # the last response has been written
-        self._discarded_bytes = 0
-        self._completed_requests = 0
         self.last_progress_at = server.loop.time()  # time-outs count from it
         self._response_ended_at = self.last_progress_at
         self._promised_at: float | None = None  # when a head last let the connection stay open
@@ -99,68 +77,6 @@
         if self.idle():
             self._server.connection_idle(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Process received bytes (asyncio)."""
-        if self._input_ended:
-            self._discarded_bytes += len(data)
-            if self._discarded_bytes > LINGER_BYTES:
-                self.abort()
-            return
-        if not self._unparsed:
-            # Bytes read after a pause may have arrived at any time since the socket was last empty,
-            # so the client's deadline counts from then.
-            self._read_at = min(self._server.loop.time(), self._last_empty_at)
-            self._last_empty_at = math.inf
-        self._unparsed += data
-        self._advance()
-
-    def _parse(self) -> None:
-        """Parse the bytes read, at most `PIPELINE_LIMIT` requests ahead; the rest waits."""
-        while (
-            self._unparsed
-            and len(self._pending) < PIPELINE_LIMIT
-            and not self._input_ended
-            and self._parser is not None
-        ):
-            data = self._unparsed[:PARSE_BYTES]
-            self._unparsed = self._unparsed[PARSE_BYTES:]
-            completed_before = self._completed_requests
-            try:
-                self._parser.feed_data(data)
-                if self._in_request and completed_before == self._completed_requests:
-                    self._limit_request_bytes(len(data))
-            except httptools.HttpParserUpgrade:
-                # Upgrade declined: the request is served, but the parser takes no data after it.
-                self._input_ended = True
-                self._pending[-1].keep = False
-            except (httptools.HttpParserError, BadRequestError) as error:
-                bad = (
-                    error
-                    if isinstance(error, BadRequestError)
-                    else self._parse_error or BadRequestError(400, f"not HTTP: {error}")
-                )
-                self._input_ended = True
-                self._pending.append(PendingRequest(None, bad.status, keep=False, why=str(bad)))
-        if self._input_ended:
-            self._unparsed = b""
-        self._pause_or_resume_reading()
-
-    def _pause_or_resume_reading(self) -> None:
-        """Pause reading while unparsed bytes are left, and resume it after."""
-        pause = bool(self._unparsed) and not self._input_ended
-        if self._transport is None or self._poller is None or not (pause or self._reading_paused):
-            return
-        if self._closing:
-            return
-        if not self._reading_paused:
-            self._last_empty_at = self._read_at
-            self._transport.pause_reading()
-        elif not self._poller.has_unread():
-            self._last_empty_at = self._server.loop.time() if pause else math.inf
-        if not pause:
-            self._transport.resume_reading()
-        self._reading_paused = pause
-
     # Callbacks of the parser.
 
     def _size_limits(self) -> SizeLimits:
