Controllers: a process that ends answers the reads it has and sends its answers whole

Found on the related paths of the drain. What an operator saw: a read of the configuration that was in flight at a controller's SIGTERM got a closed connection, since only changes were waited for; a large answer that its reader had not taken yet was cut off by the end of the process; and a kept connection was promised on until the process was gone.

Change: reads count as in flight; a stopping controller refuses all new requests at once (503, as it did for changes) and closes each connection at its next answer; it ends once the kernel has all answers, or after a tenth of grace_s.

Evidence: test_a_read_in_flight_at_sigterm_gets_its_answer and test_a_large_answer_to_a_slow_reader_is_whole_when_the_process_ends, with real processes, fail without it (the second was run with the wait taken out).

--- a/roselink/controller/api.py
+++ b/roselink/controller/api.py
@@ -110,6 +110,12 @@
         if not self.too_large:
             self.content.write(data)
 
+    def close_after_response(self) -> None:
+        """Close the connection once the client's kernel can have the whole response."""
+        self.setHeader(b"Connection", b"close")  # type: ignore[no-untyped-call]
+        if self.channel is not None:
+            self.channel.persistent = False
+
 
 class AdminApi:
     """The HTTP routes of the operator's interface."""
@@ -146,12 +152,15 @@
         return site
 
     def stop(self) -> None:
-        """Refuse new changes; those in flight go on."""
+        """Refuse new requests, and close each connection at its next response.
+
+        Requests in flight go on.
+        """
         self._stopping = True
 
     @property
     def in_flight(self) -> int:
-        """The number of changes in flight."""
+        """The number of changes and reads without a response."""
         return self._in_flight
 
     def _replace(self, request: ApiRequest) -> Response:
@@ -195,7 +204,7 @@
                 request, (ValidationFault("X-Base-Version", "must be one whole number"),)
             )
         if self._stopping:
-            return _unavailable(request, ApiError.STOPPING)
+            return _stopping(request)
         return base
 
     def _respond_to_change(
@@ -206,16 +215,22 @@
         operation: Callable[[Callable[[ChangeOutcome], None]], None],
     ) -> Deferred[bytes]:
         """The response to a change: once `operation` reports its outcome, or at the time-out."""
-        self._in_flight += 1
         unknown: ChangeOutcome = OutcomeUnknown()
         outcome = self._with_timeout(SUBMIT_TIMEOUT_S, operation, unknown)
-        return outcome.addBoth(self._change_ended).addCallback(
-            self._outcome_response, request, base, generation
-        )
+        response = outcome.addCallback(self._outcome_response, request, base, generation)
+        return self._count_in_flight(response, request)
+
+    def _count_in_flight(self, response: Deferred[bytes], request: ApiRequest) -> Deferred[bytes]:
+        """Count a request as in flight until its response is there."""
+        self._in_flight += 1
+
+        def end(result: Result) -> Result:
+            self._in_flight -= 1
+            if self._stopping:
+                request.close_after_response()
+            return result
 
-    def _change_ended(self, outcome: ChangeOutcome) -> ChangeOutcome:
-        self._in_flight -= 1
-        return outcome
+        return response.addBoth(end)
 
     def _outcome_response(
         self,
@@ -248,9 +263,12 @@
             case OutcomeUnknown():
                 return _unavailable(request, ApiError.UNSETTLED)
 
-    def _get(self, request: ApiRequest) -> Deferred[bytes]:
+    def _get(self, request: ApiRequest) -> Response:
+        if self._stopping:
+            return _stopping(request)
         confirmed = self._with_timeout(CONFIRM_TIMEOUT_S, self._chain.confirm, None)
-        return confirmed.addCallback(self._document_response, request)
+        response = confirmed.addCallback(self._document_response, request)
+        return self._count_in_flight(response, request)
 
     def _document_response(self, confirmation: Confirmation | None, request: ApiRequest) -> bytes:
         if confirmation is None:
@@ -259,9 +277,12 @@
             return _error(request, ApiError.NO_CONFIGURATION)
         return _response(request, 200, confirmation.document)
 
-    def _status(self, request: ApiRequest) -> Deferred[bytes]:
+    def _status(self, request: ApiRequest) -> Response:
+        if self._stopping:
+            return _stopping(request)
         confirmed = self._with_timeout(STATUS_TIMEOUT_S, self._chain.confirm, None)
-        return confirmed.addCallback(self._status_response, request)
+        response = confirmed.addCallback(self._status_response, request)
+        return self._count_in_flight(response, request)
 
     def _status_response(self, confirmation: Confirmation | None, request: ApiRequest) -> bytes:
         chain = self._chain
@@ -346,6 +367,11 @@
     return _error(request, error)
 
 
+def _stopping(request: ApiRequest) -> bytes:
+    request.close_after_response()
+    return _unavailable(request, ApiError.STOPPING)
+
+
 def _error(request: ApiRequest, error: ApiError, **fields: object) -> bytes:
     document = {"error": error.reason, "code": error.code, **fields}
     return _json_response(request, error.status, document)
--- a/roselink/controller/app.py
+++ b/roselink/controller/app.py
@@ -38,14 +38,16 @@
     from roselink.controller.twisted_reactor import ListeningPort, Reactor
     from roselink.protocol.peer_connection import ReplySender
 
-# Fraction of `grace_s` for the changes in flight after SIGTERM. A larger one lets more of them
-# complete; a smaller one ends the process sooner.
+# Fraction of `grace_s` for the operator's requests in flight after SIGTERM. A larger one lets more
+# of them complete; a smaller one ends the process sooner.
 STOP_GRACE_FRACTION = 0.25
-# Upper bound of the time for the changes in flight, in seconds.
+# Upper bound of the time for the requests in flight, in seconds.
 MAX_STOP_S = 1.5
 # Fraction of `grace_s` for leaving the chain afterwards. Most of it is used only while the peers
 # need this process for a majority.
 LEAVE_GRACE_FRACTION = 0.5
+# Fraction of `grace_s` for the last responses to reach the kernel.
+FLUSH_GRACE_FRACTION = 0.1
 STOP_CHECK_INTERVAL_S = 0.05
 MAX_LISTEN_ATTEMPTS = 50
 LISTEN_RETRY_INTERVAL_S = 0.1
@@ -101,6 +103,7 @@
         self._api: AdminApi | None = None
         self._host_list_client: HostListClient | None = None
         self._admin_port: ListeningPort | None = None
+        self._reactor: Reactor | None = None
         self._pool = PeerPool(self._handle)
         self._server = PeerServer(self._handle)
 
@@ -177,7 +180,7 @@
 
         imports = StepwiseImporter(lambda: chain.forming, self._loop.time)
         await imports.load(REACTOR_MODULES)
-        reactor = install_reactor(self._loop)
+        reactor = self._reactor = install_reactor(self._loop)
         await imports.load(CLIENT_MODULES)
         self._start_host_list_client(chain, pull_driver, reactor)
         await imports.load(SERVER_MODULES)
@@ -255,6 +258,16 @@
         self._settings = settings
         log.info("settings_read", seeds=len(settings.seeds))
 
+    async def _flush_responses(self, timeout_s: float) -> None:
+        """Wait until the kernel has all responses: the end of the process would cut them off."""
+        deadline = self._loop.time() + timeout_s
+        while (
+            self._reactor is not None
+            and self._reactor.getWriters()
+            and self._loop.time() < deadline
+        ):
+            await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+
     async def _stop(self) -> None:
         log.info("core_stopping")
         if self._starting is not None:
@@ -275,6 +288,7 @@
                 log.warning("chain_leave_timed_out")
         if self._host_list_client is not None:
             self._host_list_client.close()
+        await self._flush_responses(grace_s * FLUSH_GRACE_FRACTION)
         self._server.close()
         self._pool.close()
         log.info("core_stopped")
--- a/roselink/controller/twisted_reactor.py
+++ b/roselink/controller/twisted_reactor.py
@@ -52,6 +52,9 @@
     ) -> ListeningPort:
         """Accept connections at this port of this address."""
 
+    def getWriters(self) -> list[object]:
+        """The connections that have bytes which the kernel has not taken yet."""
+
     def startRunning(self, *, installSignalHandlers: bool) -> None:
         """Run the start-up triggers; the event loop itself is run by its owner."""
 
--- a/tests/controller/single_member_core.py
+++ b/tests/controller/single_member_core.py
@@ -27,6 +27,8 @@
 
 # A multiple of the interval at which the host list is read, in seconds.
 SLOW_LEAVE_S = 1.5
+# Less than the time after which a read ends unconfirmed.
+SLOW_CONFIRM_S = 0.5
 START_BEHAVIOUR = sys.argv[2] if len(sys.argv) > 2 else "succeeds"
 
 
@@ -81,7 +83,10 @@
             done(ChangeCommitted(sequence))
 
     def confirm(self, done: Callable[[Confirmation | None], None]) -> None:
-        done(self.newest)
+        if START_BEHAVIOUR == "confirms slowly":
+            self.loop.call_later(SLOW_CONFIRM_S, done, self.newest)
+        else:
+            done(self.newest)
 
     def disk_status(self) -> DiskStatus:
         return DiskStatus(healthy=True, checks=3, damaged=1, checked_s=2.0)
--- a/tests/controller/test_api.py
+++ b/tests/controller/test_api.py
@@ -452,13 +452,39 @@
     run_with_api_server(scenario)
 
 
-def test_change_after_stop_is_rejected() -> None:
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [("POST", "/config/replace"), ("GET", "/config/get"), ("GET", "/status")],
+)
+def test_request_after_stop_is_rejected_and_closes_its_connection(method: str, path: str) -> None:
     async def scenario(server: ApiServer) -> None:
         server.api.stop()
-        response = await (await server.connect()).request(
-            "POST", "/config/replace", CONFIGURATION, X_Base_Version="0"
-        )
-        assert response.status == 503
+        client = await server.connect()
+        response = await client.request(method, path, CONFIGURATION, X_Base_Version="0")
+        assert (response.status, response.headers["connection"]) == (503, "close")
+        assert await client.reader.read() == b""
         assert server.chain.submits.empty()
+        assert server.chain.reads.empty()
+        assert server.api.in_flight == 0
+
+    run_with_api_server(scenario)
+
+
+def test_requests_in_flight_at_a_stop_are_answered_and_close_their_connections() -> None:
+    async def scenario(server: ApiServer) -> None:
+        reader, changer = await server.connect(), await server.connect()
+        reader.send("GET", "/config/get")
+        confirm = await server.chain.reads.get()
+        changer.send("POST", "/config/replace", CONFIGURATION, X_Base_Version="0")
+        _, committed = await server.chain.submits.get()
+        assert server.api.in_flight == 2
+        server.api.stop()
+        confirm(Confirmation(3, 5, CONFIGURATION, 7))
+        committed(ChangeCommitted(6))
+        for client in (reader, changer):
+            response = await client.receive()
+            assert (response.status, response.headers["connection"]) == (200, "close")
+            assert await client.reader.read() == b""
+        assert server.api.in_flight == 0
 
     run_with_api_server(scenario)
--- a/tests/controller/test_app.py
+++ b/tests/controller/test_app.py
@@ -225,6 +225,64 @@
     run_on_reactor(work())
 
 
+def test_a_read_in_flight_at_sigterm_gets_its_answer(tmp_path: Path) -> None:
+    """The process ended under reads that its chain had not confirmed yet."""
+
+    async def work() -> None:
+        core = CoreProcess(tmp_path, ("127.0.0.1", 1))
+        await core.start("confirms slowly")
+        assert core.process is not None
+        client = HttpClient(*await asyncio.open_connection("127.0.0.1", core.admin))
+        client.send("GET", "/config/get")
+        await asyncio.sleep(0.1)
+        core.process.send_signal(signal.SIGTERM)
+        response = await client.receive()
+        assert (response.status, response.headers["connection"]) == (404, "close")
+        client.writer.close()
+        await core.wait_for_event("core_stopped")
+        assert await core.process.wait() == 0
+        core.pool.close()
+
+    run_on_reactor(work())
+
+
+def read_to_end(connection: socket.socket) -> bytes:
+    received = b""
+    while data := connection.recv(1024 * 1024):
+        received += data
+    return received
+
+
+def test_a_large_answer_to_a_slow_reader_is_whole_when_the_process_ends(tmp_path: Path) -> None:
+    """The end of the process cut off what the kernel had not taken yet."""
+
+    async def work() -> None:
+        core = CoreProcess(tmp_path, ("127.0.0.1", 1))
+        await core.start()
+        assert core.process is not None
+        routes = document()["routes"]
+        many = [{**routes[0], "name": f"r{n}", "path_prefix": f"/{n}/"} for n in range(40_000)]
+        configuration = json.dumps(document(routes=routes + many)).encode()
+        assert (
+            await core.request("POST", "/config/replace", configuration, X_Base_Version="0")
+        ).status == 200
+        with socket.socket() as slow:
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            slow.connect(("127.0.0.1", core.admin))
+            slow.sendall(b"GET /config/get HTTP/1.1\r\nHost: x\r\n\r\n")
+            await asyncio.sleep(0.2)
+            core.process.send_signal(signal.SIGTERM)
+            await core.wait_for_event("core_stopping")
+            await asyncio.sleep(0.2)
+            received = await asyncio.to_thread(read_to_end, slow)
+        await core.wait_for_event("core_stopped")
+        assert received.endswith(configuration)
+        assert await core.process.wait() == 0
+        core.pool.close()
+
+    run_on_reactor(work())
+
+
 def test_a_reload_has_the_real_chain_send_heartbeats_to_the_new_seeds(tmp_path: Path) -> None:
     """Members never connected to changed seeds, so machines known only from them could not join.
 
