--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -17,7 +17,7 @@
 from roselink.http.server_connection import ServerConnection
 from tests.support.event_loop import on_loop, until
 from tests.support.fake_hosts import send_bytes, serve_ok
-from tests.support.gateway_clients import BlockingClient
+from tests.support.gateway_clients import BlockingClient, client_request
 from tests.support.gateway_harness import GatewayHarness, accepted_requests, running_gateway
 from tests.support.http_messages import response
 
@@ -230,6 +230,22 @@
         assert len(requests) == len(harness.hosts[0].seen) == 1
 
 
+@on_loop
+async def test_a_half_read_request_gets_503_when_a_drain_ends() -> None:
+    async with running_gateway(serve_ok) as harness:
+        requests, client = accepted_requests(harness), BlockingClient(harness.gateway.port)
+        _, data = client_request("/audit/k", b"xyz")
+        client.socket.sendall(data[:-1])
+        await until(lambda: any(c._in_request for c in harness.gateway.server.connections))
+        harness.gateway.server.draining = True
+        harness.gateway.server.end_requests()
+        data_received = await received(client)
+        assert data_received.startswith(b"HTTP/1.1 503")
+        assert b"Connection: close" in data_received
+        assert await received(client) == b""
+        assert requests == []
+
+
 @on_loop
 async def test_late_requests_in_a_drain_get_a_shorter_deadline() -> None:
     async with running_gateway(serve_ok) as harness, harness.client() as client:
