Log: each proposal of a view, with the evidence against each machine that it removes

A view in the log said who is in it, but not who proposed it, or why a machine was left out: silence at the proposer, a link between two others, a disk and a leave looked alike. The log events of a member's chain have a module of their own now, chain_log.py. The edit of one mutation follows, which had left its test red.

--- a/roselink/controller/chain_driver.py
+++ b/roselink/controller/chain_driver.py
@@ -11,8 +11,8 @@
 from typing import TYPE_CHECKING
 
 from roselink.controller.chain_interface import DiskStatus
+from roselink.controller.chain_log import ChainLog
 from roselink.controller.exceptions import DataDirMissingError
-from roselink.controller.quorum_monitor import QuorumEvent, QuorumMonitor
 from roselink.controller.startup_log import log
 from roselink.controller.storage import Storage, record_number
 from roselink.coordination.effects import (
@@ -29,6 +29,7 @@
     VerificationOutcome,
     VerifyRecord,
     ViewChanged,
+    ViewProposed,
 )
 from roselink.coordination.member import TICK_S, Member, Start
 from roselink.coordination.messages import is_chain_message
@@ -40,8 +41,6 @@
     from roselink.protocol.peer_pool import PeerPool
 
 LOAD_RETRY_INTERVAL_S = 0.2
-# Damaged records that one process finds before it logs that the disk should be replaced.
-UNTRUSTED_AFTER_DAMAGES = 2
 _LEAVE_CHECK_INTERVAL_S = 0.02
 # Sessions and incarnations are random, so that no two starts share one, and stay below the largest
 # integer of a record.
@@ -80,8 +79,7 @@
         self._worker: threading.Thread | None = None
         self._member: Member | None = None
         self._running = False
-        self._logged_epoch = 0
-        self._quorum_monitor = QuorumMonitor()
+        self._log = ChainLog()
         self._timer: asyncio.TimerHandle | None = None
         self._submits: dict[int, Callable[[SubmitOutcome], None]] = {}
         self._reads: dict[int, Callable[[Confirmation | None], None]] = {}
@@ -112,7 +110,7 @@
             while not member.may_end(self._loop.time()):
                 await asyncio.sleep(_LEAVE_CHECK_INTERVAL_S)
         finally:
-            self._log_leave(member)
+            self._log.left(member)
 
     def halt(self) -> None:
         """Stop at once; calls in flight end with an unknown outcome."""
@@ -240,8 +238,8 @@
                 self._save(effect)
             case VerifyRecord(store):
                 self._verify(store)
-            case RecordDamaged():
-                self._log_damage(effect)
+            case RecordDamaged() | ViewProposed():
+                self._log.note(effect)
             case SubmitDone(number, outcome):
                 if (submit_done := self._submits.pop(number, None)) is not None:
                     submit_done(outcome)
@@ -252,44 +250,10 @@
                 self._view_changed(view)
 
     def _view_changed(self, view: View) -> None:
-        self._log_view(view)
+        self._log.view_changed(view, is_tail=self.is_tail)
         for callback in self._view_callbacks:
             callback()
 
-    def _log_view(self, view: View) -> None:
-        """Log each agreed view once, and at its tail the activation of its chain."""
-        if view.epoch != self._logged_epoch:
-            self._logged_epoch = view.epoch
-            chain = [replica.voter.address for replica in view.chain]
-            log.info("view_changed", epoch=view.epoch, chain=chain, voters=len(view.voters))
-        if self.is_tail:
-            log.info("chain_activated", epoch=view.epoch)
-
-    def _log_leave(self, member: Member) -> None:
-        """Log the view in which this process ends, and whether it is still a voter there."""
-        voters = () if member.view is None else member.view.voters
-        log.info(
-            "chain_left",
-            epoch=self.epoch,
-            left=member.has_left,
-            is_voter=member.voter in voters,
-            voters=[voter.address for voter in voters],
-        )
-
-    def _log_quorum(self, member: Member, now: float) -> None:
-        if member.view is None:
-            return
-        reachable = {member.voter.address, *member.peers.reachable(now)}
-        event = self._quorum_monitor.update(member.view, reachable, now)
-        if event is QuorumEvent.LOST:
-            voters = [voter.address for voter in member.view.voters]
-            missing = [address for address in voters if address not in reachable]
-            log.warning(
-                "majority_unreachable", epoch=member.view.epoch, voters=voters, missing=missing
-            )
-        elif event is QuorumEvent.REGAINED:
-            log.info("majority_reachable", epoch=member.view.epoch)
-
     def _tick(self) -> None:
         if self._member is None or not self._running:
             return
@@ -297,7 +261,7 @@
         self._timer = self._loop.call_later(TICK_S, self._tick)
         now = self._loop.time()
         self._perform(self._member.tick(now))
-        self._log_quorum(self._member, now)
+        self._log.quorum(self._member, now)
 
     # --- the disk's worker thread
 
@@ -386,11 +350,6 @@
         if self._member is not None and self._running:
             self._perform(self._member.verified(store, outcome, self._loop.time()))
 
-    def _log_damage(self, damage: RecordDamaged) -> None:
-        log.warning("disk_record_damaged", record=damage.store.value, times=damage.times)
-        if damage.times >= UNTRUSTED_AFTER_DAMAGES:
-            log.error("disk_untrusted", times=damage.times)
-
 
 def _seeds(settings: ProcessSettings) -> tuple[str, ...]:
     return tuple(f"{host}:{port}" for host, port in settings.seed_peers())
--- a/roselink/coordination/effects.py
+++ b/roselink/coordination/effects.py
@@ -140,5 +140,47 @@
     view: View
 
 
-Effect = Send | Persist | VerifyRecord | RecordDamaged | SubmitDone | ReadDone | ViewChanged
+@dataclass(frozen=True, slots=True)
+class RemovalEvidence:
+    """What a proposer knows of a machine that its proposal removes from the chain.
+
+    Attributes:
+        address: the machine's peer address.
+        silent_s: the time since its last heartbeat to the proposer; infinite if there was none.
+        live: whether it and the proposer receive each other's heartbeats.
+        disk_ok: whether it reports that its disk is healthy.
+        leaving: whether it reports that its process is about to end.
+        broken_links: the members of the former chain that it doesn't reach, or that don't reach it.
+    """
+
+    address: str
+    silent_s: float
+    live: bool
+    disk_ok: bool
+    leaving: bool
+    broken_links: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ViewProposed:
+    """The member begins a round that proposes this view.
+
+    `removed`: the evidence against each machine of the current chain that is not in the proposed
+    one.
+    """
+
+    view: View
+    removed: tuple[RemovalEvidence, ...]
+
+
+Effect = (
+    Send
+    | Persist
+    | VerifyRecord
+    | RecordDamaged
+    | SubmitDone
+    | ReadDone
+    | ViewChanged
+    | ViewProposed
+)
 Emit = Callable[[Effect], None]
--- a/roselink/coordination/peer_status.py
+++ b/roselink/coordination/peer_status.py
@@ -29,6 +29,7 @@
         since_heartbeat_s: the time since its last heartbeat; 0 while a live machine reports it
             as reachable.
         reachable: the addresses from which it reports that it receives heartbeats.
+        silent_s: the time since its last heartbeat to the planner.
     """
 
     voter: Voter
@@ -42,6 +43,7 @@
     stable: bool
     since_heartbeat_s: float
     reachable: frozenset[str]
+    silent_s: float = 0.0
 
     @property
     def eligible(self) -> bool:
--- a/roselink/coordination/peer_table.py
+++ b/roselink/coordination/peer_table.py
@@ -144,6 +144,7 @@
             and now - known.eligible_since >= STABLE_AFTER_S,
             since_heartbeat_s=since_heartbeat_s,
             reachable=frozenset(heartbeat.reachable),
+            silent_s=now - known.last_heartbeat_at,
         )
 
     def _is_live(self, known: _KnownPeer, now: float) -> bool:
--- a/roselink/coordination/proposer.py
+++ b/roselink/coordination/proposer.py
@@ -10,9 +10,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from roselink.coordination.effects import Emit, Send
+from roselink.coordination.effects import Emit, Send, ViewProposed
 from roselink.coordination.proposal_round import ProposalRound
-from roselink.coordination.views import majority, plan, should_await_joiners
+from roselink.coordination.views import (
+    majority,
+    plan,
+    removal_evidence,
+    should_await_joiners,
+)
 from roselink.protocol.chain import Accept, Accepted, Ballot, Prepare, Promise, Refusal, View, Voter
 
 if TYPE_CHECKING:
@@ -115,6 +120,7 @@
             acceptor, view, peers, now, outside_complete_chain=outside_complete_chain
         )
         if planned is not None and now >= self._next_round_at and _reaches_majority(view, peers):
+            self.emit(ViewProposed(planned, removal_evidence(view, planned, peers)))
             self.propose(acceptor, view, planned, now)
 
     def _round_timeout_s(self) -> float:
--- a/roselink/coordination/views.py
+++ b/roselink/coordination/views.py
@@ -79,10 +79,12 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from itertools import combinations
 from typing import TYPE_CHECKING
 
+from roselink.coordination.effects import RemovalEvidence
 from roselink.coordination.voter_plan import plan_voters
 from roselink.protocol.chain import ChainReplica, View, Voter
 
@@ -197,6 +199,36 @@
     )
 
 
+def removal_evidence(
+    view: View, proposal: View, peers: Mapping[str, PeerStatus]
+) -> tuple[RemovalEvidence, ...]:
+    """What is known against each machine of the view's chain that the proposal's chain lacks."""
+    remaining = {replica.voter for replica in proposal.chain}
+    chain = [replica.voter for replica in view.chain]
+    return tuple(
+        _evidence_against(voter.address, chain, peers) for voter in chain if voter not in remaining
+    )
+
+
+def _evidence_against(
+    address: str, chain: list[Voter], peers: Mapping[str, PeerStatus]
+) -> RemovalEvidence:
+    peer = peers.get(address)
+    if peer is None:
+        return RemovalEvidence(
+            address, math.inf, live=False, disk_ok=True, leaving=False, broken_links=()
+        )
+    others = [peers[voter.address] for voter in chain if voter.address in peers]
+    broken = tuple(
+        other.voter.address
+        for other in others
+        if other is not peer and not _reach_each_other(peer, other)
+    )
+    return RemovalEvidence(
+        address, peer.silent_s, peer.live, peer.disk_ok, peer.leaving, broken_links=broken
+    )
+
+
 def _needs_no_plan(view: View, peers: Mapping[str, PeerStatus]) -> bool:
     """Whether every known machine is in the chain and eligible: a fast check of the usual case."""
     if not len(peers) == len(view.chain) == len(view.voters):
@@ -277,10 +309,11 @@
 
 
 def _all_reach_each_other(group: tuple[PeerStatus, ...]) -> bool:
-    return all(
-        one.voter.address in other.reachable and other.voter.address in one.reachable
-        for one, other in combinations(group, 2)
-    )
+    return all(_reach_each_other(one, other) for one, other in combinations(group, 2))
+
+
+def _reach_each_other(one: PeerStatus, other: PeerStatus) -> bool:
+    return one.voter.address in other.reachable and other.voter.address in one.reachable
 
 
 def _arrange_chain(view: View, group: tuple[PeerStatus, ...]) -> tuple[ChainReplica, ...]:
--- a/tests/mutations/controller.py
+++ b/tests/mutations/controller.py
@@ -60,8 +60,8 @@
         ),
         (
             "changes are accepted while the process stops",
-            "            return _unavailable(request, ApiError.STOPPING)",
-            "            pass",
+            "            return _stopping(request)\n        return base\n",
+            "            pass\n        return base\n",
         ),
     ),
     *mutations_of(
