Views: no live member is removed in the place of a stopped one

Cause: a plan takes a link between two others as broken with the first heartbeat that lacks it. When a machine stops, another member notices that a moment before the planner; both seem alive and apart, and the plan keeps the one nearer to the head. The same with a restarted member that lists nobody yet. Ruled out: hanging connection attempts and blocked probes, which the simulation does not have.

Change: L1 in peer_table.py. Between two members a link is broken only after LINK_TIMEOUT_S of such reports, and in doubt before; the planner's own silence decides in that time. The simulation checks each proposal (removal_check.py).

--- a/roselink/coordination/peer_status.py
+++ b/roselink/coordination/peer_status.py
@@ -29,6 +29,8 @@
         since_heartbeat_s: the time since its last heartbeat; 0 while a live machine reports it
             as reachable.
         reachable: the addresses from which it reports that it receives heartbeats.
+        broken_links: the addresses from which it has received no heartbeats for so long that the
+            link counts as broken; other links that are not reachable are in doubt.
         silent_s: the time since its last heartbeat to the planner.
     """
 
@@ -43,6 +45,7 @@
     stable: bool
     since_heartbeat_s: float
     reachable: frozenset[str]
+    broken_links: frozenset[str] = frozenset()
     silent_s: float = 0.0
 
     @property
--- a/roselink/coordination/peer_table.py
+++ b/roselink/coordination/peer_table.py
@@ -2,6 +2,17 @@
 
 Times are seconds of the member's own clock. A machine is live while its heartbeats arrive and list
 this one as reachable: a link that works in one direction only counts as broken at both ends.
+
+L1. A plan removes no live machine from the chain because of a machine that has stopped.
+
+  Argument. A planner removes a machine for one of two reasons: the machine is not live at the
+  planner itself, or a link between it and another live machine is broken. Only the second can hit
+  the wrong one of two machines. When a machine X stops, its last heartbeats to the planner P and to
+  a third machine A were sent in one step. A reports the link to X as broken `SUSPECT_TIMEOUT_S`
+  after it got its own, and P suspects X as long after the one that P got. Their messages differ by
+  less than `LINK_TIMEOUT_S` in delay, so P suspects X before the link has been reported as broken
+  for that time, and from then on X is not live, and its links don't matter. Until then P takes the
+  link for intact and plans nothing.
 """
 
 from __future__ import annotations
@@ -19,6 +30,11 @@
 # machine sooner; a larger one suspects fewer machines that are only slow.
 SUSPECT_TIMEOUT_S = 0.45
 
+# A link between two other machines counts as broken once one of them has reported so for this time.
+# A smaller value replaces a machine with a broken link sooner; with a larger one messages may be
+# late by more before a live machine is removed in the place of one that has stopped (L1).
+LINK_TIMEOUT_S = 0.45
+
 # A machine that has been live and eligible for this time is stable, and may join a chain. A larger
 # value keeps unreliable machines out; with a smaller one a machine joins sooner.
 STABLE_AFTER_S = 0.3
@@ -34,8 +50,31 @@
 @dataclass(slots=True)
 class _KnownPeer:
     heartbeat: Heartbeat
+    first_heartbeat_at: float
     last_heartbeat_at: float
     eligible_since: float | None = None
+    # The machines that it listed as reachable before, with the time of the first heartbeat since
+    # then that doesn't.
+    lost_links: dict[str, float] = field(default_factory=dict)
+
+    def record(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take over a heartbeat of the same process."""
+        for address in self.heartbeat.reachable:
+            if address not in heartbeat.reachable:
+                self.lost_links[address] = now
+        for address in heartbeat.reachable:
+            self.lost_links.pop(address, None)
+        self.heartbeat = heartbeat
+        self.last_heartbeat_at = now
+
+    def broken_links(self, addresses: Iterable[str], now: float) -> frozenset[str]:
+        """Those of the machines that it has not reached for `LINK_TIMEOUT_S` (L1)."""
+        return frozenset(
+            address
+            for address in addresses
+            if address not in self.heartbeat.reachable
+            and now - self.lost_links.get(address, self.first_heartbeat_at) >= LINK_TIMEOUT_S
+        )
 
 
 @dataclass(slots=True)
@@ -54,18 +93,20 @@
         """Exclude a time during which this process didn't run from the age of heartbeats."""
         for known in self._known.values():
             known.last_heartbeat_at = min(now, known.last_heartbeat_at + pause_s)
+            known.first_heartbeat_at = min(now, known.first_heartbeat_at + pause_s)
+            for address, lost_at in known.lost_links.items():
+                known.lost_links[address] = min(now, lost_at + pause_s)
 
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Record a received heartbeat."""
         address = heartbeat.sender.address
         known = self._known.get(address)
         if known is None or known.heartbeat.session != heartbeat.session:
-            known = _KnownPeer(heartbeat, now)
+            known = _KnownPeer(heartbeat, now, now)
             self._known[address] = known
         if now - known.last_heartbeat_at >= SUSPECT_TIMEOUT_S:
             known.eligible_since = None
-        known.heartbeat = heartbeat
-        known.last_heartbeat_at = now
+        known.record(heartbeat, now)
         eligible = self._is_live(known, now) and heartbeat.disk_ok and not heartbeat.leaving
         if not eligible:
             known.eligible_since = None
@@ -129,6 +170,9 @@
                     statuses[address] = _expected_status(address, own_status)
         return statuses
 
+    def _addresses(self) -> Iterable[str]:
+        return (self.voter.address, *self._known)
+
     def _status(self, known: _KnownPeer, now: float, since_heartbeat_s: float) -> PeerStatus:
         heartbeat = known.heartbeat
         return PeerStatus(
@@ -144,6 +188,7 @@
             and now - known.eligible_since >= STABLE_AFTER_S,
             since_heartbeat_s=since_heartbeat_s,
             reachable=frozenset(heartbeat.reachable),
+            broken_links=known.broken_links(self._addresses(), now),
             silent_s=now - known.last_heartbeat_at,
         )
 
--- a/roselink/coordination/views.py
+++ b/roselink/coordination/views.py
@@ -264,7 +264,7 @@
     candidates.sort(key=lambda peer: (index_of.get(peer.voter, joiner_index), peer.voter.address))
     for size in range(len(candidates), min_length - 1, -1):
         for group in combinations(candidates, size):
-            if not any(is_intact(view, peer) for peer in group) or not _all_reach_each_other(group):
+            if not any(is_intact(view, peer) for peer in group) or not _is_connected(view, group):
                 continue
             retained_count = sum(peer.voter in index_of for peer in group)
             positions = tuple(-index_of.get(peer.voter, joiner_index) for peer in group)
@@ -312,6 +312,23 @@
     return all(_reach_each_other(one, other) for one, other in combinations(group, 2))
 
 
+def _is_connected(view: View, group: tuple[PeerStatus, ...]) -> bool:
+    """Whether a group can be a chain: no link between two of its members is known to be broken.
+
+    A new member has to reach all others before it joins. Between two current members, a link that
+    was reported as broken a moment ago is only in doubt: one of them may have stopped, and the
+    planner soon knows which (L1 in `peer_table`).
+    """
+    for one, other in combinations(group, 2):
+        both_stay = None not in (replica_of(view, one.voter), replica_of(view, other.voter))
+        is_broken = (
+            other.voter.address in one.broken_links or one.voter.address in other.broken_links
+        )
+        if is_broken if both_stay else not _reach_each_other(one, other):
+            return False
+    return True
+
+
 def _reach_each_other(one: PeerStatus, other: PeerStatus) -> bool:
     return one.voter.address in other.reachable and other.voter.address in one.reachable
 
--- a/roselink/simulation/exceptions.py
+++ b/roselink/simulation/exceptions.py
@@ -267,6 +267,16 @@
         self.name = name
 
 
+class LiveMachineRemovedError(MachineError):
+    """A proposal removes a live machine from the chain because of machines that have stopped."""
+
+    code = "SIM-022"
+
+    def __init__(self, address: str) -> None:
+        """Store the machine."""
+        super().__init__(address, "was removed from the chain in the place of a stopped one")
+
+
 class StandardLibraryError(SimulationError, AssertionError):
     """A module of the standard library that the simulation loads a second time can't be found.
 
--- a/roselink/simulation/machine.py
+++ b/roselink/simulation/machine.py
@@ -27,10 +27,12 @@
     SubmitOutcome,
     VerifyRecord,
     ViewChanged,
+    ViewProposed,
 )
 from roselink.coordination.member import TICK_S, Member, Start
 from roselink.simulation.disk import FOLDER, MemoryFiles
 from roselink.simulation.exceptions import ProcessCrashError, ProcessNotRunningError
+from roselink.simulation.removal_check import check_removals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -316,6 +318,8 @@
                 self.pending_reads.pop(effect.number)(effect.confirmation)
             elif isinstance(effect, ViewChanged):
                 self._view_changed()
+            elif isinstance(effect, ViewProposed):
+                check_removals(self.cluster, effect)
 
     def _view_changed(self) -> None:
         if self.member is None or self.member.view is None:
--- a/tests/coordination/test_views.py
+++ b/tests/coordination/test_views.py
@@ -186,10 +186,39 @@
         pytest.param(
             THREE,
             1,
-            (peer("a", reachable=frozenset("c")), peer("b", reachable=frozenset("c")), peer("c")),
+            (
+                peer("a", reachable=frozenset("c"), broken_links=frozenset("b")),
+                peer("b", reachable=frozenset("c"), broken_links=frozenset("a")),
+                peer("c"),
+            ),
             ("abc", "ac"),
             id="two members can't reach each other",
         ),
+        pytest.param(
+            THREE,
+            1,
+            (
+                peer("a"),
+                peer("b", reachable=frozenset("c"), broken_links=frozenset("a")),
+                peer("c"),
+            ),
+            ("abc", "ac"),
+            id="a link is broken in one direction",
+        ),
+        pytest.param(
+            THREE,
+            1,
+            (peer("a", reachable=frozenset("c")), peer("b", reachable=frozenset("c")), peer("c")),
+            None,
+            id="a link between two members is in doubt",
+        ),
+        pytest.param(
+            THREE,
+            1,
+            (peer("a"), peer("b"), absent("c"), joiner("d", reachable=frozenset("a"))),
+            ("abd", "ab"),
+            id="a joiner doesn't reach a member yet",
+        ),
         pytest.param(
             FOUR,
             1,
