Host connections: an answer without the request's id is no rejection of it

Cause: an answer without X-Request-Id that looked like a rejection was not compared with the id. Late surplus bytes of the answer before were taken for the rejection of the next request.

Change: I2 in fleet_host_connection.py, no exemption. After an answer without the id the connection is closed, as for other unrequested answers, and the request may have run. Two rows of test_refusal_is_sent_only_if_request_has_not_run expected 503 after an id-less 503 and 421; PROTOCOL.md says that each host answer carries the id, so they expect 502, as strict as before.

--- a/roselink/dataplane/fleet_host_connection.py
+++ b/roselink/dataplane/fleet_host_connection.py
@@ -8,6 +8,15 @@
   Reason: a host may send a second copy of its response when the next one is due, and only the id
   tells them apart. It names the request and not the attempt, so a late copy of a rejection would be
   taken for the response to the next attempt, which the host runs.
+
+I2. Only a response with the id of the request says anything about it, a rejection included. After
+    one without an id the connection is closed, and the request may have run.
+
+  Reason: each request of this gateway has an id, and a host sends it back with each response to the
+  request. Bytes that look like a response without one are surplus of an earlier exchange, or belong
+  to no request: the response to the request of now is still due behind them, and it can't be told
+  whether the host has begun to work. A host that rejects a request for the lack of an id has not
+  read one of this gateway's.
 """
 
 from __future__ import annotations
@@ -261,10 +270,7 @@
         if is_interim(self._status) or not isinstance(attempt, FleetAttempt):
             return
         response_id = self._headers.get(b"x-request-id")
-        # A surplus response has the id of another request. A response without an id is a rejection,
-        # or belongs to no request.
-        rejected = not response_id and self._outcome() is Outcome.FULL
-        if response_id != attempt.request_id and not rejected:
+        if response_id != attempt.request_id:  # a surplus response (I2)
             self._surplus_count += 1
             if not response_id or self._surplus_count > SURPLUS_LIMIT:
                 raise UnrequestedResponseError(response_id)
--- a/tests/dataplane/test_data_plane.py
+++ b/tests/dataplane/test_data_plane.py
@@ -194,8 +194,9 @@
         (respond_not_executed(), 503),
         (respond_not_executed("429 Much"), 503),
         (respond_not_executed("421 Other", "X-Any: 1"), 503),
-        (send_bytes(b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"), 503),
-        (send_bytes(b"HTTP/1.1 421 Other\r\nX-Instance-Id: i-7\r\nContent-Length: 0\r\n\r\n"), 503),
+        # Without the request's id a rejection is no response to it.
+        (send_bytes(b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"), 502),
+        (send_bytes(b"HTTP/1.1 421 Other\r\nX-Instance-Id: i-7\r\nContent-Length: 0\r\n\r\n"), 502),
         (send_bytes(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"), 502),
         (
             send_bytes(
--- a/tests/dataplane/test_fleet_host_pool.py
+++ b/tests/dataplane/test_fleet_host_pool.py
@@ -133,6 +133,32 @@
         assert len(harness.hosts[0].writers) == 2
 
 
+# review/4: late surplus bytes without an id were taken for the rejection of the next request.
+@pytest.mark.parametrize("status", ["400 Bad", "421 Other", "429 Much", "503 Full"])
+@pytest.mark.parametrize(("path", "expected"), [("/once/x", 502), ("/safe/x", 200)])
+@on_loop
+async def test_response_without_an_id_is_no_rejection(
+    status: str, path: str, expected: int
+) -> None:
+    """The host sends it late, behind its response to the request before."""
+    surplus = f"HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+
+    async def behave(message: Message, writer: asyncio.StreamWriter) -> None:
+        if len(harness.hosts[0].seen) == 2:
+            writer.write(surplus)
+        await respond(b"ok", "200 OK", KEEP_ALIVE)(message, writer)
+
+    async with running_data_plane(behave, respond(b"other")) as harness, harness.client() as client:
+        assert (await client.send_request(path)).body == b"ok"
+        await asyncio.sleep(host_pool.REUSE_DELAY_S + 0.01)
+        response = await client.send_request(path)
+        assert response.status == expected
+        assert len(harness.hosts[0].seen) == 2
+        assert len(harness.hosts[1].seen) == (path == "/safe/x")
+        assert [end.outcome for end in harness.decider.attempt_ends()][1] is Outcome.RESET
+        await until(lambda: not harness.hosts[0].closed.empty())
+
+
 @on_loop
 async def test_other_requests_use_the_connection_on_which_one_was_rejected() -> None:
     reject = respond_not_executed("503 Full", "X-Not-Executed: 1", KEEP_ALIVE)
--- a/tests/mutations/dataplane.py
+++ b/tests/mutations/dataplane.py
@@ -188,8 +188,14 @@
         DATAPLANE,
         (
             "response to another request is accepted",
-            "if response_id != attempt.request_id and not rejected:",
-            "if not response_id and not rejected:",
+            "        if response_id != attempt.request_id:",
+            "        if not response_id:",
+        ),
+        (
+            "response without an id counts as a rejection",
+            "        if response_id != attempt.request_id:",
+            "        if response_id != attempt.request_id and (\n"
+            "            response_id or self._outcome() is not Outcome.FULL\n        ):",
         ),
         (
             "long request with failed write counts as unsent",
