Quotas: a cut owner admits only what its successor learns of from others

Cause: without an owner a gateway admits 0.8 of its recent rate for 3 s, because the owner reserves it. If it was the owner itself and nobody else had asked for the tenant, the new owner knows of no usage, reserves nothing, and grants the full quota beside it.

Change: B2 in quota_owner.py. An owner notes its own rate at its last reply to another requester with recent usage, and admits no more than that on this account once cut off. An owner hands on in its replies the usage that it reserves for and nobody has reported, so that a third one reserves too.

--- a/roselink/budgets/budget_service.py
+++ b/roselink/budgets/budget_service.py
@@ -88,8 +88,10 @@
         self._refresh = refresh
         self._clock = clock
         self._ownership = OwnershipView(own)
-        self._quota_owner = QuotaOwner(rule, own.incarnation)
-        self._quota_client = QuotaClient(self._ownership, rule)
+        self._quota_owner = QuotaOwner(rule, own.incarnation, own.name)
+        self._quota_client = QuotaClient(
+            self._ownership, rule, self._quota_owner.rate_known_to_others
+        )
         self._retry_owner = RetryBudgetOwner(window_s, slack)
         self._retry_client = RetryBudgetClient(self._ownership, slack)
         self._tenants: list[str] = []
--- a/roselink/budgets/local_admission.py
+++ b/roselink/budgets/local_admission.py
@@ -14,7 +14,7 @@
 # owner reserves; a smaller value refuses more requests.
 RECENT_RATE_FRACTION = 0.8
 # How long requests are admitted at that rate, and the most that is admitted in any window, in
-# seconds of that rate. The owner reserves for as long (quota_owner.MAX_RESERVE_S).
+# seconds of that rate. The owner reserves for as long (tenant_bucket.MAX_RESERVE_S).
 RECENT_RATE_S = 3.0
 # Burst of the local bucket, in seconds of that rate.
 BURST_S = 0.6
--- a/roselink/budgets/quota_client.py
+++ b/roselink/budgets/quota_client.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from roselink.budgets.deadline_index import NEVER, DeadlineIndex
 from roselink.budgets.local_admission import LocalAdmission
+from roselink.budgets.quota_client_state import InFlightRequest, PendingAmount, TenantState
 from roselink.budgets.retry_budget import RefreshRoster
 from roselink.budgets.usage import (
     LOCAL_FRACTION,
@@ -25,7 +26,7 @@
 from roselink.protocol.budgets import BucketLevel, QuotaReply, QuotaRequest, ReplyStatus
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from roselink.budgets.ownership import OwnershipView
 
@@ -43,7 +44,7 @@
 RETRY_INTERVAL_S = 0.03
 # Interval of requests to an owner that doesn't reply.
 PROBE_INTERVAL_S = 0.1
-# Interval of keep-alives. Above quota_owner.UNREACHABLE_AFTER_S the owner would reserve for
+# Interval of keep-alives. Above tenant_bucket.UNREACHABLE_AFTER_S the owner would reserve for
 # reachable gateways; a smaller value sends more requests.
 KEEP_ALIVE_INTERVAL_S = 0.4
 # How long leased tokens may be used. A larger value saves requests and withholds the unused tokens
@@ -80,60 +81,28 @@
 Effect = SendQuotaRequest | QuotaDecided | RefreshRoster
 
 
-@dataclass(slots=True)
-class _PendingAmount:
-    """The amount of one request that waits for its decision until a deadline."""
-
-    number: int
-    amount: float
-    deadline: float
-
-
-@dataclass(slots=True)
-class _InFlightRequest:
-    """The quota request in flight, and the `admitted_locally` amount that it reported."""
-
-    call: int
-    sent_at: float
-    amounts: list[_PendingAmount]
-    reported_locally: float
-
-
-@dataclass(slots=True)
-class _TenantState:
-    """The state of one tenant at this gateway."""
-
-    limit: QuotaLimit
-    usage: UsageWindow
-    local: LocalAdmission
-    pending: deque[_PendingAmount] = field(default_factory=deque)
-    in_flight: _InFlightRequest | None = None
-    last_sent_at: float = float("-inf")
-    not_before: float = 0.0
-    failures: int = 0
-    # Fencing token under which the owner has this gateway's usage report; 0 if it has none.
-    reported_token: int = 0
-    # Amount that was admitted locally and that no owner has acknowledged yet.
-    admitted_locally: float = 0.0
-    # The bucket's level in the last reply, and when that reply was received.
-    last_level: tuple[BucketLevel, float] | None = None
-    lease: float = 0.0
-    lease_expires_at: float = 0.0
-    returned: float = 0.0
-    usage_fraction: float = 0.0
-    # Moving average of request amounts.
-    typical_amount: float = 0.0
-
-
 class QuotaClient:
     """Decides the requests of all tenants at one gateway, by the owners or locally."""
 
-    def __init__(self, ownership: OwnershipView, rule: QuotaRule) -> None:
-        """Start without tenants."""
+    def __init__(
+        self,
+        ownership: OwnershipView,
+        rule: QuotaRule,
+        rate_known_to_others: Callable[[str, float], float],
+    ) -> None:
+        """Start without tenants.
+
+        Args:
+            ownership: who owns which tenant.
+            rule: the rule of all quotas.
+            rate_known_to_others: the usage per second at this gateway, of a tenant that it owns
+                itself, that other gateways know at this time (`QuotaOwner`).
+        """
+        self._rate_known_to_others = rate_known_to_others
         self.draining = False
         self._ownership = ownership
         self._rule = rule
-        self._tenants: dict[str, _TenantState] = {}
+        self._tenants: dict[str, TenantState] = {}
         self._deadlines = DeadlineIndex()
         self._calls: dict[int, str] = {}
         self._last_call = 0
@@ -150,7 +119,7 @@
         for name, limit in limits.items():
             if limit.rate_per_s > 0 and name not in self._tenants:
                 window_s = self._rule.window_s
-                self._tenants[name] = _TenantState(
+                self._tenants[name] = TenantState(
                     limit, UsageWindow(window_s), LocalAdmission(window_s)
                 )
         return effects
@@ -176,7 +145,7 @@
         return effects
 
     def _admit(
-        self, number: int, tenant: str, state: _TenantState, amount: float, now: float
+        self, number: int, tenant: str, state: TenantState, amount: float, now: float
     ) -> list[Effect]:
         if state.typical_amount:
             state.typical_amount += TYPICAL_AMOUNT_WEIGHT * (amount - state.typical_amount)
@@ -187,7 +156,7 @@
             state.lease -= amount
             state.usage.add(now, amount)
             return [_admitted(number)]
-        entry = _PendingAmount(number, amount, now + MAX_WAIT_S)
+        entry = PendingAmount(number, amount, now + MAX_WAIT_S)
         if state.local.active:
             return [self._decide_locally(state, entry, now), *self._send_if_due(tenant, state, now)]
         state.pending.append(entry)
@@ -214,8 +183,8 @@
     def _handle_reply(
         self,
         tenant: str,
-        state: _TenantState,
-        completed: _InFlightRequest,
+        state: TenantState,
+        completed: InFlightRequest,
         reply: QuotaReply | None,
         now: float,
     ) -> list[Effect]:
@@ -229,7 +198,7 @@
             state.failures += 1
             if state.failures > 1 or now - completed.sent_at > CONNECTION_FAILURE_S:
                 state.not_before = now + PROBE_INTERVAL_S
-                effects = self._switch_to_local(state, now)
+                effects = self._switch_to_local(tenant, state, now)
         elif reply.status is ReplyStatus.REPORT_WANTED and state.reported_token:
             state.reported_token = 0
         else:
@@ -245,7 +214,7 @@
         for tenant in self._deadlines.pop_due(now):
             state = self._tenants[tenant]
             if state.pending and state.pending[0].deadline <= now:
-                effects += self._switch_to_local(state, now)
+                effects += self._switch_to_local(tenant, state, now)
             _expire_lease(state, now)
             effects += self._send_if_due(tenant, state, now)
             self._update_deadline(tenant, state, now)
@@ -255,11 +224,11 @@
         """Return when `wake` is due, `now` or later; infinity for never."""
         return max(now, self._deadlines.earliest())
 
-    def _update_deadline(self, tenant: str, state: _TenantState, now: float) -> None:
+    def _update_deadline(self, tenant: str, state: TenantState, now: float) -> None:
         """Update when `wake` is due for a tenant whose state has changed; it may be too early."""
         self._deadlines.set(tenant, self._deadline(state, now))
 
-    def _deadline(self, state: _TenantState, now: float) -> float:
+    def _deadline(self, state: TenantState, now: float) -> float:
         deadline = state.pending[0].deadline if state.pending else NEVER
         if state.in_flight is not None:
             return deadline
@@ -271,7 +240,7 @@
             next_send_at = max(next_send_at, state.usage.oldest_expires_at())
         return min(deadline, next_send_at)
 
-    def _send_if_due(self, tenant: str, state: _TenantState, now: float) -> list[Effect]:
+    def _send_if_due(self, tenant: str, state: TenantState, now: float) -> list[Effect]:
         """Send the next quota request if one is due and none is in flight."""
         if state.in_flight is not None or now < state.not_before:
             return []
@@ -284,12 +253,15 @@
         fenced_owner = self._ownership.find(KEY_PREFIX + tenant)
         if fenced_owner is None:
             state.not_before = now + PROBE_INTERVAL_S
-            return self._switch_to_local(state, now)
+            return self._switch_to_local(tenant, state, now)
         amounts = list(state.pending)
         state.pending = deque()
         self._last_call += 1
         self._calls[self._last_call] = tenant
-        state.in_flight = _InFlightRequest(self._last_call, now, amounts, state.admitted_locally)
+        to_self = fenced_owner.owner == self._ownership.own
+        state.in_flight = InFlightRequest(
+            self._last_call, now, amounts, state.admitted_locally, to_self
+        )
         state.last_sent_at = now
         request = self._make_request(tenant, fenced_owner.fencing_token, state, amounts, now)
         earliest = min((entry.deadline for entry in amounts), default=float("inf"))
@@ -300,8 +272,8 @@
         self,
         tenant: str,
         fencing_token: int,
-        state: _TenantState,
-        amounts: list[_PendingAmount],
+        state: TenantState,
+        amounts: list[PendingAmount],
         now: float,
     ) -> QuotaRequest:
         report = None
@@ -327,23 +299,23 @@
             report,
         )
 
-    def _lease_wanted(self, state: _TenantState, now: float) -> float:
+    def _lease_wanted(self, state: TenantState, now: float) -> float:
         wanted = LEASE_AHEAD_S * state.usage.total(now) / self._rule.window_s - state.lease
         return wanted if wanted >= state.typical_amount else 0.0
 
-    def _switch_to_local(self, state: _TenantState, now: float) -> list[Effect]:
+    def _switch_to_local(self, tenant: str, state: TenantState, now: float) -> list[Effect]:
         """Decide pending requests locally, and new ones too until an owner replies."""
         if not state.local.active:
             rate = max(0.0, state.usage.total(now)) / self._rule.window_s
+            if state.owned_here:
+                rate = min(rate, self._rate_known_to_others(tenant, now))
             reserved = state.reported_token != 0 and not self.draining
             state.local.begin(rate, now, reserved=reserved)
         pending = state.pending
         state.pending = deque()
         return [self._decide_locally(state, entry, now) for entry in pending]
 
-    def _decide_locally(
-        self, state: _TenantState, entry: _PendingAmount, now: float
-    ) -> QuotaDecided:
+    def _decide_locally(self, state: TenantState, entry: PendingAmount, now: float) -> QuotaDecided:
         fraction = max(
             state.usage_fraction * LOCAL_FRACTION, MIN_LOCAL_FRACTION / self._ownership.size
         )
@@ -359,17 +331,17 @@
     return QuotaDecided(number, allowed=True, retry_after_s=0.0)
 
 
-def _needs_keep_alive(state: _TenantState, now: float) -> bool:
+def _needs_keep_alive(state: TenantState, now: float) -> bool:
     """Whether the owner must be informed of this gateway's usage by keep-alives."""
     return bool(state.returned or state.lease or state.usage.total(now))
 
 
-def _keep_alive_at(state: _TenantState) -> float:
+def _keep_alive_at(state: TenantState) -> float:
     """Return when the next keep-alive is due, or the next probe of an unreachable owner."""
     return state.last_sent_at + (PROBE_INTERVAL_S if state.local.active else KEEP_ALIVE_INTERVAL_S)
 
 
-def _expire_lease(state: _TenantState, now: float) -> None:
+def _expire_lease(state: TenantState, now: float) -> None:
     """Return the unused rest of a lease that has expired."""
     if state.lease and now >= state.lease_expires_at:
         state.returned += state.lease
@@ -377,12 +349,13 @@
 
 
 def _apply_decisions(
-    state: _TenantState, completed: _InFlightRequest, reply: QuotaReply, now: float
+    state: TenantState, completed: InFlightRequest, reply: QuotaReply, now: float
 ) -> list[Effect]:
     """Apply an owner's decisions to the tenant's state; return the effects."""
     state.local.end()
     state.failures = 0
     state.reported_token = reply.fencing_token
+    state.owned_here = completed.to_self
     state.usage_fraction = reply.usage_fraction
     state.admitted_locally -= completed.reported_locally
     state.last_level = BucketLevel(reply.term, reply.level, reply.recent_usage, 0), now
--- a/roselink/budgets/quota_owner.py
+++ b/roselink/budgets/quota_owner.py
@@ -20,13 +20,25 @@
 A requester that sends no quota requests may be unreachable and admit amounts locally at its recent
 rate (`local_admission`): the owner reserves that amount and withholds it from the others. A new
 owner does the same for usage that the previous owner counted and no requester has reported yet.
+
+B2. Whatever a gateway that is cut off admits locally at its recent rate is reserved by the owner
+    that decides for the others, also if that gateway was the owner itself.
+
+  Argument. If another gateway was the owner, it has this one's usage, and reserves for it while it
+  lasts; its successor reserves the part of the total usage that nobody has reported, once any
+  requester has reported the total, and hands that part on to its own successor in its replies. If
+  this gateway was the owner, only requesters that it replied
+  to know the total. So it admits locally no more than the rate that it had itself at its last reply
+  to a requester with recent usage, which sends keep-alives and thus reports that reply to the new
+  owner. If there was no such reply in the last `KNOWN_FOR_S`, nobody knows of the usage, and it
+  admits nothing on its account (`rate_known_to_others`).
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from roselink.budgets.tenant_bucket import RequesterId, RequesterUsage, TenantBucket
 from roselink.budgets.usage import (
     OVERDRAFT_FRACTION,
     START_FRACTION,
@@ -36,7 +48,6 @@
     UsageWindow,
 )
 from roselink.protocol.budgets import (
-    BucketLevel,
     QuotaReply,
     QuotaRequest,
     ReplyStatus,
@@ -48,153 +59,31 @@
 
     from roselink.model.fleet import Member
 
-# A requester counts as unreachable this long after its last quota request. One with recent usage
-# sends at least every quota_client.KEEP_ALIVE_INTERVAL_S; the difference tolerates a late one. A
-# smaller value reserves for requesters that are only slow, a larger one reserves later.
-UNREACHABLE_AFTER_S = 0.65
-# A reservation grows for at most this time: the longest time for which a requester admits locally
-# on account of its recent rate (local_admission.RECENT_RATE_S).
-MAX_RESERVE_S = 3.0
-# Up to this age, a reported level counts with the refill since then. The refill of an older one may
-# have been used by other gateways.
-LEVEL_VALID_S = 1.0
-# A new term receives its start credit evenly over this time.
-START_CREDIT_S = 1.0
 # Fraction of the burst that leases leave in the bucket. A larger value leaves more for the other
 # gateways, a smaller one saves quota requests.
 LEASE_MIN_LEVEL_FRACTION = 0.5
+# For how long after a reply to another requester that requester reports the usage to a new owner in
+# time for its reservation (B2). It exceeds the time for which ownership lasts without confirmation,
+# with the keep-alive interval.
+KNOWN_FOR_S = 2.0
 # Upper bound of the `retry_after_s` of a refused amount.
 MAX_RETRY_AFTER_S = 2.0
 
-# Name and incarnation of a gateway process.
-RequesterId = tuple[str, int]
-
-
-@dataclass(slots=True)
-class _RequesterUsage:
-    """One requester as the owner knows it: its usage, and its rate at its last quota request."""
-
-    usage: UsageWindow
-    last_request_at: float
-    rate_per_s: float = 0.0
-
-    def reserved(self, now: float) -> float:
-        """Return the amount that the requester may have admitted locally while unreachable."""
-        request_age_s = now - self.last_request_at
-        if request_age_s <= UNREACHABLE_AFTER_S or request_age_s > self.usage.window_s:
-            return 0.0
-        return self.rate_per_s * min(request_age_s - UNREACHABLE_AFTER_S, MAX_RESERVE_S)
-
-
-@dataclass(slots=True)
-class _TenantBucket:
-    """The token bucket of one tenant in this owner's term.
-
-    `recent_burst` is the greatest burst in force in the last window. `level` assumes that the
-    previous owner's bucket had `baseline_level` at `baseline_at`; a newer report corrects that
-    assumption. `previous_level_at` is when a requester received that owner's newest known
-    level; `previous_usage` is the usage of all gateways in the window that ended then, as that
-    owner counted it, and `reported_usage` the usage that requesters have reported in this term.
-    `start_credit` is the credit that the bucket receives unless a level no older than
-    `LEVEL_VALID_S` is reported, and `credit_gained` the part of it received so far.
-    """
-
-    limit: QuotaLimit
-    recent_burst: RecentMaximum
-    term: int
-    updated_at: float
-    level: float
-    baseline_level: float
-    baseline_at: float
-    start_credit: float = 0.0
-    credit_gained: float = 0.0
-    previous_usage: float = 0.0
-    reported_usage: float = 0.0
-    previous_level_at: float = float("-inf")
-    requesters: dict[RequesterId, _RequesterUsage] = field(default_factory=dict)
-
-    def refill(self, now: float) -> None:
-        """Add the amount and the start credit gained since the last update."""
-        elapsed_s = max(0.0, now - self.updated_at)
-        gain = min(
-            self.start_credit - self.credit_gained, self.start_credit * elapsed_s / START_CREDIT_S
-        )
-        self.credit_gained += gain
-        self.level = self._refilled(self.level + gain, elapsed_s)
-        self.updated_at = max(self.updated_at, now)
-
-    def take(self, amount: float) -> None:
-        """Remove an amount; a negative one is added, up to the burst."""
-        self.level = min(self.limit.burst, self.level - amount)
-
-    def adopt_level(self, previous: BucketLevel, now: float) -> None:
-        """Base the level on one that a previous owner sent to a requester.
-
-        It is ignored if a newer one is known or it is from this term. One older than
-        `LEVEL_VALID_S` counts as at most 0 and only limits the start credit, since other gateways
-        may have used the rest.
-        """
-        received_at = now - previous.age_ms / 1000
-        if previous.term == self.term or received_at <= self.previous_level_at:
-            return
-        level = self._refilled(previous.level, now - received_at)
-        if now - received_at > LEVEL_VALID_S:
-            self.start_credit = min(self.start_credit, max(level, self.credit_gained))
-            level = min(level, 0.0)
-        else:
-            self.level -= self.credit_gained
-            self.start_credit = 0.0
-            self.credit_gained = 0.0
-        self.level += level - self._refilled(self.baseline_level, now - self.baseline_at)
-        self.level = min(self.limit.burst, self.level)
-        self.baseline_level = level
-        self.baseline_at = now
-        self.previous_level_at = received_at
-        self.previous_usage = previous.recent_usage
-
-    def reserved_for_others(self, requester: _RequesterUsage, now: float) -> float:
-        """Return the amount that other, unreachable gateways may have admitted locally.
-
-        This includes gateways that only the previous owner knew.
-        """
-        reserved = sum(
-            other.reserved(now) for other in self.requesters.values() if other is not requester
-        )
-        level_age_s = now - self.previous_level_at
-        window_s = requester.usage.window_s
-        if UNREACHABLE_AFTER_S < level_age_s < window_s:
-            unreported_per_s = max(0.0, self.previous_usage - self.reported_usage) / window_s
-            reserved += unreported_per_s * min(level_age_s - UNREACHABLE_AFTER_S, MAX_RESERVE_S)
-        return reserved
-
-    def change_limit(self, limit: QuotaLimit, now: float) -> None:
-        """Apply a new limit: a lower burst caps the level.
-
-        What a burst adds to the greatest one of the last window is available immediately (B1).
-        """
-        self.refill(now)
-        added = max(0.0, limit.burst - self.recent_burst.maximum(now))
-        self.recent_burst.set(limit.burst, now)
-        self.level = min(limit.burst, self.level + added)
-        self.limit = limit
-
-    def _refilled(self, level: float, after_s: float) -> float:
-        return min(self.limit.burst, level + self.limit.rate_per_s * after_s)
-
 
 class QuotaOwner:
     """Decides quota requests by the buckets of all tenants that this gateway owns."""
 
-    def __init__(self, rule: QuotaRule, incarnation: int) -> None:
+    def __init__(self, rule: QuotaRule, incarnation: int, name: str = "") -> None:
         """Start without tenants.
 
         Terms count up from `incarnation`, a random number, so that those of different owners and
-        processes differ.
+        processes differ. `name` is that of this gateway.
         """
         self._rule = rule
+        self._own_id: RequesterId = (name, incarnation)
         self._last_term = incarnation
         self._limits: dict[str, QuotaLimit] = {}
-        self._buckets: dict[str, _TenantBucket] = {}
+        self._buckets: dict[str, TenantBucket] = {}
 
     def configure(self, limits: Mapping[str, QuotaLimit], now: float) -> None:
         """Apply the limits of a configuration, by tenant."""
@@ -260,6 +149,7 @@
         requester.rate_per_s = (
             0.0 if request.draining else requester.usage.total(now) / self._rule.window_s
         )
+        self._note_known_rate(bucket, requester_id, requester, now)
         usage = self._expire_and_sum_usage(bucket, now)
         ratio = max(0.0, min(1.0, requester.usage.total(now) / usage)) if usage > 0 else 0.0
         return QuotaReply(
@@ -271,12 +161,29 @@
             usage_fraction=ratio,
             term=bucket.term,
             level=bucket.level,
-            recent_usage=usage,
+            recent_usage=usage + bucket.inherited_usage(now),
         )
 
-    def _new_bucket(self, limit: QuotaLimit, now: float) -> _TenantBucket:
+    def rate_known_to_others(self, tenant: str, now: float) -> float:
+        """This gateway's usage per second that a new owner would learn of from others (B2)."""
+        bucket = self._buckets.get(tenant)
+        if bucket is None or now - bucket.own_rate_known_at > KNOWN_FOR_S:
+            return 0.0
+        return bucket.own_rate_per_s
+
+    def _note_known_rate(
+        self, bucket: TenantBucket, replied_to: RequesterId, requester: RequesterUsage, now: float
+    ) -> None:
+        """Note what a reply tells another requester of this gateway's own usage (B2)."""
+        if replied_to == self._own_id or requester.rate_per_s <= 0:
+            return
+        own = bucket.requesters.get(self._own_id)
+        bucket.own_rate_per_s = 0.0 if own is None else own.rate_per_s
+        bucket.own_rate_known_at = now
+
+    def _new_bucket(self, limit: QuotaLimit, now: float) -> TenantBucket:
         self._last_term += 1
-        return _TenantBucket(
+        return TenantBucket(
             limit,
             RecentMaximum(self._rule.window_s, limit.burst),
             self._last_term,
@@ -289,17 +196,17 @@
 
     def _update_requester(
         self,
-        bucket: _TenantBucket,
+        bucket: TenantBucket,
         requester_id: RequesterId,
         report: tuple[UsageSample, ...] | None,
         now: float,
-    ) -> _RequesterUsage:
+    ) -> RequesterUsage:
         """Return a requester's usage, replaced by its report if there is one."""
         if report is not None:
             usage = self._window_from_report(report, now)
             if requester_id not in bucket.requesters:
                 bucket.reported_usage += usage.total(now)
-            bucket.requesters[requester_id] = _RequesterUsage(usage, now)
+            bucket.requesters[requester_id] = RequesterUsage(usage, now)
         return bucket.requesters[requester_id]
 
     def _window_from_report(self, report: tuple[UsageSample, ...], now: float) -> UsageWindow:
@@ -310,8 +217,8 @@
 
     def _admit_amounts(
         self,
-        bucket: _TenantBucket,
-        requester: _RequesterUsage,
+        bucket: TenantBucket,
+        requester: RequesterUsage,
         amounts: tuple[float, ...],
         now: float,
     ) -> tuple[tuple[bool, ...], float]:
@@ -338,7 +245,7 @@
         return tuple(decisions), retry_after_s
 
     def _grant_lease(
-        self, bucket: _TenantBucket, requester: _RequesterUsage, wanted: float, now: float
+        self, bucket: TenantBucket, requester: RequesterUsage, wanted: float, now: float
     ) -> float:
         """Grant at most `wanted` as a lease; return the amount.
 
@@ -352,7 +259,7 @@
             requester.usage.add(now, granted)
         return granted
 
-    def _expire_and_sum_usage(self, bucket: _TenantBucket, now: float) -> float:
+    def _expire_and_sum_usage(self, bucket: TenantBucket, now: float) -> float:
         """Return the usage in the last window of requesters that may admit locally.
 
         These are neither draining nor restarted since their last quota request. Requesters that
--- a/tests/budgets/fleet.py
+++ b/tests/budgets/fleet.py
@@ -169,8 +169,8 @@
             f"edge-{self.index}", str(self.index), 1_000_000 * (100 * self.incarnation + self.index)
         )
         self.ownership = OwnershipView(self.member)
-        self.quota_owner = QuotaOwner(fleet.rule, self.member.incarnation)
-        self.client = QuotaClient(self.ownership, fleet.rule)
+        self.quota_owner = QuotaOwner(fleet.rule, self.member.incarnation, self.member.name)
+        self.client = QuotaClient(self.ownership, fleet.rule, self.quota_owner.rate_known_to_others)
         self.retry_owner = RetryBudgetOwner(fleet.retry_window_s, fleet.slack)
         self.retry_client = RetryBudgetClient(self.ownership, fleet.slack)
         self._requests: dict[int, tuple[str, float, float]] = {}
--- a/tests/budgets/test_fleet.py
+++ b/tests/budgets/test_fleet.py
@@ -6,10 +6,11 @@
 
 import pytest
 
+from roselink.budgets.quota_client import KEY_PREFIX
 from roselink.budgets.usage import QuotaLimit, QuotaRule
 from tests.budgets.checks import admitted_amounts, max_window_sum, reference_admissions
 from tests.budgets.faults import FAULTS, inject_faults
-from tests.budgets.fleet import Fleet
+from tests.budgets.fleet import Fleet, Gateway
 
 RATE = BURST = 120_000.0
 RULE = QuotaRule(window_s=8.0, over=0.1, slack=110_000.0)
@@ -81,6 +82,57 @@
     assert max(entry.decided_at - entry.arrived_at for entry in never_frozen) <= 0.25
 
 
+def send_through(
+    fleet: Fleet, gateways: list[Gateway], tokens_per_s: float, since: float, until: float
+) -> None:
+    """Schedule requests of the tenant "hot" at random times to some of the gateways."""
+    rng = random.Random(f"{fleet.seed} {since}")
+    per_s = tokens_per_s * len(SIZES) / sum(SIZES)
+    at = since + rng.expovariate(per_s)
+    while at < until:
+        gateway, amount = rng.choice(gateways), rng.choice(SIZES)
+        fleet.at(at, lambda gateway=gateway, amount=amount: gateway.request("hot", amount))  # type: ignore[misc]
+        at += rng.expovariate(per_s)
+
+
+def run_cut_of_only_gateway(seed: int) -> float:
+    """The largest window of a tenant whose only gateway, often the owner, is cut off.
+
+    The clients of all others begin to send then. A second fault may hit another gateway.
+    """
+    fleet = make_fleet(seed, "hot")
+    rng = random.Random(f"{seed} cut")
+    fleet.run(fleet.now + 1)
+    owners = [each for each in fleet.gateways if each.ownership.owns(KEY_PREFIX + "hot")]
+    only = rng.choice(owners) if rng.random() < 0.7 else rng.choice(fleet.gateways)
+    cut_at = fleet.now + 12.0
+    end = cut_at + 12.0
+    others = [each for each in fleet.gateways if each is not only]
+    send_through(fleet, [only], rng.uniform(0.5, 6) * RATE, fleet.now, end)
+    if rng.random() < 0.3:  # the others know the usage in part
+        send_through(fleet, others, rng.uniform(0.05, 0.5) * RATE, fleet.now, cut_at)
+    send_through(fleet, others, 6 * RATE, cut_at + rng.uniform(-1, 1), end)
+    links = [frozenset((only.index, other)) for other in range(-1, fleet.size)]
+    fleet.at(cut_at, lambda: fleet.blocked_links.update(links))
+    fleet.at(cut_at + 5.5, lambda: fleet.blocked_links.difference_update(links))
+    if rng.random() < 0.3:
+        FAULTS["kill"](fleet, rng, rng.choice(others), cut_at + rng.uniform(0, 4))
+    fleet.run(end)
+    return max_window_sum(admitted_amounts(fleet.decisions, "hot"), RULE.window_s)
+
+
+# review/5: a cut gateway that owned its tenant's quota and its successor both granted the quota.
+@pytest.mark.parametrize("seed", [*range(12), 136, 189])  # the last two kill the new owner
+def test_cut_of_the_only_gateway_of_a_tenant_stays_within_the_bound(seed: int) -> None:
+    assert run_cut_of_only_gateway(seed) <= BOUND
+
+
+@pytest.mark.many_seeds
+@pytest.mark.parametrize("seed", range(200))
+def test_cut_of_the_only_gateway_of_a_tenant_with_many_seeds(seed: int) -> None:
+    assert run_cut_of_only_gateway(seed) <= BOUND
+
+
 @pytest.mark.parametrize(
     ("fault", "max_refused"), [("stop", 0.005), ("kill", 0.03), ("link", 0.04)]
 )
--- a/tests/budgets/test_quota_client.py
+++ b/tests/budgets/test_quota_client.py
@@ -27,7 +27,7 @@
     if token:
         ownership.update(token, (OTHER,))
         ownership.confirm(9.9, 9.9)
-    client = QuotaClient(ownership, RULE)
+    client = QuotaClient(ownership, RULE, lambda _tenant, _now: 0.0)
     client.configure({"t": LIMIT, "free": QuotaLimit(0.0, 0.0)})
     return client, ownership
 
--- a/tests/budgets/test_quota_owner.py
+++ b/tests/budgets/test_quota_owner.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from roselink.budgets import quota_owner as module
-from roselink.budgets.quota_owner import QuotaOwner
+from roselink.budgets import tenant_bucket as module
+from roselink.budgets.quota_owner import MAX_RETRY_AFTER_S, QuotaOwner
 from roselink.budgets.usage import OVERDRAFT_FRACTION, START_FRACTION, QuotaLimit, QuotaRule
 from roselink.model.fleet import Member
 from roselink.protocol.budgets import (
@@ -114,7 +114,7 @@
 
 def test_retry_after_is_capped() -> None:
     owner = make_owner(limit=QuotaLimit(1.0, 1000.0))
-    assert owner.decide(request(500.0), 1.0).retry_after_s == module.MAX_RETRY_AFTER_S
+    assert owner.decide(request(500.0), 1.0).retry_after_s == MAX_RETRY_AFTER_S
 
 
 def test_the_overdraft_is_a_fraction_of_the_allowance() -> None:
--- a/tests/budgets/test_quota_wake_times.py
+++ b/tests/budgets/test_quota_wake_times.py
@@ -40,7 +40,7 @@
     rng = random.Random(seed)
     ownership = OwnershipView(ROSTER[0])
     ownership.update(1, ROSTER)
-    client = QuotaClient(ownership, RULE)
+    client = QuotaClient(ownership, RULE, lambda _tenant, _now: 0.0)
     limits = dict.fromkeys(NAMES, QuotaLimit(500.0, 500.0))
     client.configure(limits)
     now, requests = 0.0, list[SendQuotaRequest]()
--- a/tests/mutations/budgets.py
+++ b/tests/mutations/budgets.py
@@ -44,13 +44,22 @@
         ),
     ),
     *mutations_of(
-        "budgets/quota_owner.py",
+        "budgets/tenant_bucket.py",
         BUDGETS,
         (
             "a burst that is lowered and restored is granted anew",
             "limit.burst - self.recent_burst.maximum(now)",
             "limit.burst - self.limit.burst",
         ),
+        (
+            "a successor does not hand on what it reserves for",
+            "        return self._unreported_usage() if is_due else 0.0\n",
+            "        return 0.0\n",
+        ),
+    ),
+    *mutations_of(
+        "budgets/quota_owner.py",
+        BUDGETS,
         (
             "admitted amounts are not taken from the bucket",
             "                bucket.take(amount)\n                requester",
@@ -100,6 +109,11 @@
     *mutations_of(
         "budgets/quota_client.py",
         BUDGETS,
+        (
+            "a cut owner admits at a rate that nobody else knows",
+            "            if state.owned_here:\n",
+            "            if False:\n",
+        ),
         (
             "a quota request uses a token that an owner refused",
             "        if self._ownership.is_superseded:\n",
--- a/tools/quota_requests.py
+++ b/tools/quota_requests.py
@@ -139,7 +139,7 @@
         """Create a gateway whose requests belong to `tenants` tenants."""
         ownership = OwnershipView(make_member(0))
         ownership.update(1, make_roster(gateways))
-        self.client = QuotaClient(ownership, RULE)
+        self.client = QuotaClient(ownership, RULE, lambda _tenant, _now: 0.0)
         self.tenant_names = [f"tenant{number}" for number in range(tenants)]
         self.client.configure(dict.fromkeys(self.tenant_names, LIMIT))
         self.now = 0.0
