Quotas: a tenant that is removed and added again keeps its bucket

Cause: the owner dropped the bucket with the removal and began a new one, with a start credit, at each return.

Change: B3 in quota_owner.py. The owner keeps the bucket of a removed tenant for one window and continues it as after a change of the limit.

--- a/roselink/budgets/quota_owner.py
+++ b/roselink/budgets/quota_owner.py
@@ -32,10 +32,17 @@
   to a requester with recent usage, which sends keep-alives and thus reports that reply to the new
   owner. If there was no such reply in the last `KNOWN_FOR_S`, nobody knows of the usage, and it
   admits nothing on its account (`rate_known_to_others`).
+
+B3. A tenant that is removed and added again is granted no more than one that stayed.
+
+  Argument. Its owner keeps the bucket for a window, and continues it as after a change of the limit
+  (B1). Afterwards nothing that it was granted before lies in the same window as the start credit of
+  a new bucket. A new owner begins with the start credit, as for any tenant.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from roselink.budgets.tenant_bucket import RequesterId, RequesterUsage, TenantBucket
@@ -70,6 +77,14 @@
 MAX_RETRY_AFTER_S = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class _RemovedTenant:
+    """The bucket of a tenant that the configuration no longer limits, and since when."""
+
+    bucket: TenantBucket
+    removed_at: float
+
+
 class QuotaOwner:
     """Decides quota requests by the buckets of all tenants that this gateway owns."""
 
@@ -84,14 +99,16 @@
         self._last_term = incarnation
         self._limits: dict[str, QuotaLimit] = {}
         self._buckets: dict[str, TenantBucket] = {}
+        self._removed: dict[str, _RemovedTenant] = {}
 
     def configure(self, limits: Mapping[str, QuotaLimit], now: float) -> None:
         """Apply the limits of a configuration, by tenant."""
         self._limits = dict(limits)
+        self._forget_removed(now)
         for tenant in list(self._buckets):
             limit = limits.get(tenant)
             if limit is None or limit.rate_per_s <= 0:
-                del self._buckets[tenant]
+                self._removed[tenant] = _RemovedTenant(self._buckets.pop(tenant), now)
             elif limit != self._buckets[tenant].limit:
                 self._buckets[tenant].change_limit(limit, now)
 
@@ -106,7 +123,7 @@
         for tenant in [name for name in self._buckets if name not in owned]:
             del self._buckets[tenant]
         for tenant in sorted(owned - self._buckets.keys()):
-            self._buckets[tenant] = self._new_bucket(self._limits[tenant], now)
+            self._buckets[tenant] = self._bucket_of_new_term(tenant, self._limits[tenant], now)
         incarnations = {member.name: member.incarnation for member in roster}
         for bucket in self._buckets.values():
             for (name, incarnation), requester in bucket.requesters.items():
@@ -120,6 +137,7 @@
         its tenants.
         """
         self._buckets.clear()
+        self._removed.clear()
 
     def decide(self, request: QuotaRequest, now: float) -> QuotaReply:
         """Decide a quota request; the caller has checked its fencing token."""
@@ -181,6 +199,21 @@
         bucket.own_rate_per_s = 0.0 if own is None else own.rate_per_s
         bucket.own_rate_known_at = now
 
+    def _forget_removed(self, now: float) -> None:
+        """Forget tenants that were removed longer ago than a window."""
+        for tenant, removed in list(self._removed.items()):
+            if now - removed.removed_at >= self._rule.window_s:
+                del self._removed[tenant]
+
+    def _bucket_of_new_term(self, tenant: str, limit: QuotaLimit, now: float) -> TenantBucket:
+        """The bucket of a newly owned tenant; that of a tenant that returns is continued (B3)."""
+        self._forget_removed(now)
+        removed = self._removed.pop(tenant, None)
+        if removed is None:
+            return self._new_bucket(limit, now)
+        removed.bucket.change_limit(limit, now)
+        return removed.bucket
+
     def _new_bucket(self, limit: QuotaLimit, now: float) -> TenantBucket:
         self._last_term += 1
         return TenantBucket(
--- a/tests/budgets/test_fleet.py
+++ b/tests/budgets/test_fleet.py
@@ -133,6 +133,44 @@
     assert run_cut_of_only_gateway(seed) <= BOUND
 
 
+def run_removals_and_returns(seed: int) -> float:
+    """The largest window of an overloading tenant that is removed and added again many times."""
+    fleet = make_fleet(seed, "hot")
+    rng = random.Random(f"{seed} removals")
+    start = fleet.now + 10.0
+    end = start + 14.0
+
+    def request(gateway: Gateway, amount: float) -> None:
+        if fleet.limits:  # a removed tenant has no key
+            gateway.request("hot", amount)
+
+    def apply(limits: dict[str, QuotaLimit]) -> None:
+        fleet.limits = limits
+        for gateway in fleet.gateways:
+            gateway.configure(limits)
+
+    per_s = 5 * RATE * len(SIZES) / sum(SIZES)
+    at = fleet.now + 1.0
+    while at < end:
+        gateway, amount = rng.choice(fleet.gateways), rng.choice(SIZES)
+        fleet.at(at, lambda gateway=gateway, amount=amount: request(gateway, amount))  # type: ignore[misc]
+        at += rng.expovariate(per_s)
+    limits = fleet.limits
+    at = start
+    for _ in range(rng.randint(3, 10)):
+        fleet.at(at, lambda: apply({}))
+        fleet.at(at + rng.uniform(0.02, 0.6), lambda: apply(limits))
+        at += rng.uniform(0.7, 1.5)
+    fleet.run(end)
+    return max_window_sum(admitted_amounts(fleet.decisions, "hot"), RULE.window_s)
+
+
+# Each time that a tenant was removed and added again, its new bucket began with a start credit.
+@pytest.mark.parametrize("seed", range(6))
+def test_removals_and_returns_of_a_tenant_stay_within_the_bound(seed: int) -> None:
+    assert run_removals_and_returns(seed) <= BOUND
+
+
 @pytest.mark.parametrize(
     ("fault", "max_refused"), [("stop", 0.005), ("kill", 0.03), ("link", 0.04)]
 )
--- a/tests/mutations/budgets.py
+++ b/tests/mutations/budgets.py
@@ -60,6 +60,11 @@
     *mutations_of(
         "budgets/quota_owner.py",
         BUDGETS,
+        (
+            "a tenant that returns begins with a new bucket",
+            "        if removed is None:\n",
+            "        if True:\n",
+        ),
         (
             "admitted amounts are not taken from the bucket",
             "                bucket.take(amount)\n                requester",
